--- /dev/null
+++ b/Makefile
@@ -0,0 +1,55 @@
+# Builds apricotshift and its tests. SAN=1 adds sanitizers.
+CC ?= gcc
+B = build$(if $(SAN),-san)
+PKGS = glib-2.0 json-c libcurl liburcu-mb libprotobuf-c libsodium
+CFLAGS ?= -O2 -g
+CFLAGS += -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes \
+	-Wmissing-prototypes -Wformat=2 -I. $(shell pkg-config --cflags $(PKGS))
+LDLIBS = $(shell pkg-config --libs $(PKGS)) -lcivetweb -lpthread -lm
+ifdef SAN
+CFLAGS += -fsanitize=address,undefined -fno-omit-frame-pointer
+LDFLAGS += -fsanitize=address,undefined
+endif
+
+DECIDE = $(wildcard decide/*.c) proto/apricot.pb-c.c
+PLATFORM = $(wildcard platform/*.c)
+SERVE = $(wildcard serve/*.c)
+APP = $(wildcard apricotshift/*.c)
+STANDIN = $(wildcard test/standins/*.c)
+SIM = $(wildcard test/sim/*.c)
+obj = $(patsubst %.c,$(B)/%.o,$(1))
+CORE = $(call obj,$(DECIDE) $(PLATFORM))
+TESTS = $(patsubst test/unit/%.c,$(B)/unit/%,$(wildcard test/unit/test_*.c))
+
+all: $(B)/apricotshift $(B)/standin $(B)/scenario $(B)/load
+
+$(B)/apricotshift: $(CORE) $(call obj,$(SERVE) $(APP))
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(B)/standin: $(CORE) $(call obj,$(filter-out serve/%,$(STANDIN)))
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(B)/scenario: $(CORE) $(call obj,$(SIM) test/standins/model.c test/scenario.c)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
+
+$(B)/load: $(CORE) $(call obj,$(SIM) test/standins/model.c bench/load.c)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(B)/unit/%: $(CORE) $(B)/test/unit/%.o $(call obj,serve/http_parse.c)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
+
+$(B)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+$(B)/decide/charts.o: charts/turn.chart charts/server.chart
+
+generate:
+	cd proto && protoc-c --c_out=. apricot.proto
+
+clean:
+	rm -rf build build-san
+
+-include $(shell find $(B) -name '*.d' 2>/dev/null)
+.PHONY: all clean generate
--- /dev/null
+++ b/decide/config.c
@@ -0,0 +1,131 @@
+/** @file config.c @brief Follower of the rules' revisions. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "config.h"
+
+enum {
+	CFG_RETRY_MS = 200,
+};
+
+struct config {
+	struct node *node;
+	uint64_t newest;   /* revision named by the head row */
+	uint64_t rejected; /* newest revision that did not parse */
+	bool fetching;
+	int64_t sent_ms;
+};
+
+struct config *cfg_create(struct node *node)
+{
+	struct config *config = g_new0(struct config, 1);
+
+	config->node = node;
+	config->sent_ms = INT64_MIN / 2;
+	return config;
+}
+
+void cfg_destroy(struct config *config)
+{
+	g_free(config);
+}
+
+void cfg_see_head(struct config *config, const Aps__Row *row)
+{
+	Aps__ConfigRow *head =
+		aps__config_row__unpack(NULL, row->value.len, row->value.data);
+
+	if (head == NULL)
+		return;
+	if (head->revision > config->newest)
+		config->newest = head->revision;
+	aps__config_row__free_unpacked(head, NULL);
+	cfg_tick(config);
+}
+
+static uint64_t in_force(const struct config *config)
+{
+	return config->node->rules != NULL ? config->node->rules->revision : 0;
+}
+
+static void apply(struct config *config, const Aps__ConfigRow *row)
+{
+	struct node *node = config->node;
+	GString *errors = g_string_new(NULL);
+	struct rules *old = node->rules;
+	struct rules *rules;
+
+	rules = rul_parse(row->text, row->revision, "rules", errors);
+	if (rules == NULL) {
+		nod_log(node, "config: revision %" PRIu64 " rejected: %s",
+			row->revision, errors->str);
+		config->rejected = row->revision;
+	} else {
+		node->rules = rules;
+		node->io.rules(node->io.arg, rules);
+		rul_destroy(old);
+		nod_count(node, NOD_RULES_APPLIED, 1);
+		nod_log(node, "config: revision %" PRIu64 " in force",
+			row->revision);
+	}
+	g_string_free(errors, TRUE);
+}
+
+static void on_fetched(void *arg, const Aps__TableReply *reply)
+{
+	struct config *config = arg;
+	Aps__ConfigRow *row = NULL;
+
+	config->fetching = false;
+	if (reply == NULL || reply->n_rows == 0)
+		return;
+	row = aps__config_row__unpack(NULL, reply->rows[0]->value.len,
+				      reply->rows[0]->value.data);
+	if (row == NULL)
+		return;
+	if (row->revision > in_force(config))
+		apply(config, row);
+	aps__config_row__free_unpacked(row, NULL);
+}
+
+void cfg_tick(struct config *config)
+{
+	Aps__TableRequest request = APS__TABLE_REQUEST__INIT;
+	int64_t now = nod_now(config->node);
+	char key[64];
+	char *keys = key;
+
+	if (config->fetching || config->newest <= in_force(config) ||
+	    config->newest <= config->rejected ||
+	    now - config->sent_ms < CFG_RETRY_MS)
+		return;
+	snprintf(key, sizeof(key), "c/%010" PRIu64, config->newest);
+	request.op = APS__TABLE_REQUEST__OP__GET;
+	request.n_keys = 1;
+	request.keys = &keys;
+	config->fetching = true;
+	config->sent_ms = now;
+	nod_count(config->node, NOD_TABLE_READS, 1);
+	nod_table(config->node, &request, on_fetched, config);
+}
+
+const struct rul_account *cfg_authorize(const struct rules *rules,
+					const Aps__Request *request)
+{
+	const struct rul_target *target = rul_target(rules, request->target);
+	const struct rul_key *key;
+
+	if (request->key_hash.len == 0) {
+		if (target == NULL || !target->open ||
+		    strcmp(request->account, RUL_OPEN_ACCOUNT) != 0)
+			return NULL;
+		return rul_account(rules, RUL_OPEN_ACCOUNT);
+	}
+	if (request->key_hash.len != RUL_HASH_BYTES)
+		return NULL;
+	key = rul_key(rules, request->key_hash.data);
+	if (key == NULL || strcmp(key->account, request->account) != 0)
+		return NULL;
+	return rul_account(rules, key->account);
+}
--- /dev/null
+++ b/decide/entry.c
@@ -0,0 +1,264 @@
+/** @file entry.c @brief Calls of this instance's callers. */
+#include <string.h>
+
+#include "config.h"
+#include "entry.h"
+#include "member.h"
+
+enum {
+	ENT_RESEND_MS = 2000, /* between sendings without an answer */
+	ENT_MOVED_MS = 50,    /* before trying again after a handover */
+};
+
+struct ecall {
+	uint64_t id;
+	Aps__Request *request;
+	int shard;
+	int64_t deadline_ms;
+	int64_t send_due_ms;
+	uint64_t sent_epoch; /* of the owner at the last sending, 0 before */
+	bool sent;
+	bool owner_refused; /* the last owner vouches that it did not run */
+	GByteArray *streamed;
+};
+
+struct entry {
+	struct node *node;
+	GHashTable *calls; /* id to struct ecall */
+};
+
+static void ecall_free(void *p)
+{
+	struct ecall *call = p;
+
+	aps__request__free_unpacked(call->request, NULL);
+	g_byte_array_unref(call->streamed);
+	g_free(call);
+}
+
+struct entry *ent_create(struct node *node)
+{
+	struct entry *entry = g_new0(struct entry, 1);
+
+	entry->node = node;
+	entry->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					     ecall_free);
+	return entry;
+}
+
+void ent_destroy(struct entry *entry)
+{
+	if (entry == NULL)
+		return;
+	g_hash_table_unref(entry->calls);
+	g_free(entry);
+}
+
+static void finish(struct entry *entry, struct ecall *call,
+		   const Aps__Outcome *outcome)
+{
+	struct node *node = entry->node;
+
+	nod_count(node, outcome->status == 200 ? NOD_ANSWERS : NOD_REFUSALS, 1);
+	node->io.done(node->io.arg, call->id, outcome, call->streamed->len);
+	g_hash_table_remove(entry->calls, &call->id);
+}
+
+static void fail(struct entry *entry, struct ecall *call, uint32_t status,
+		 const char *reason)
+{
+	Aps__Outcome outcome = APS__OUTCOME__INIT;
+
+	outcome.status = status;
+	outcome.executed =
+		call->sent ? APS__EXECUTED__UNKNOWN : APS__EXECUTED__NO;
+	outcome.step = (char *)"entry";
+	outcome.peer = entry->node->id;
+	outcome.reason = (char *)reason;
+	outcome.retry_after_ms = status == 503 ? 1000 : 0;
+	finish(entry, call, &outcome);
+}
+
+uint64_t ent_start(struct entry *entry, const struct nod_call *call)
+{
+	struct node *node = entry->node;
+	struct ecall *ecall = g_new0(struct ecall, 1);
+	uint64_t id = nod_next_id(node);
+
+	ecall->id = id;
+	ecall->request = nod_request_dup(call->request);
+	ecall->shard = shd_of(SHD_PROGRAM, call->request->program);
+	ecall->deadline_ms = nod_now(node) + call->deadline_ms;
+	ecall->streamed = g_byte_array_new();
+	g_hash_table_insert(entry->calls, &ecall->id, ecall);
+	nod_count(node, NOD_CALLS, 1);
+	if (node->draining)
+		fail(entry, ecall, 503, "instance is leaving");
+	else if (node->rules == NULL)
+		fail(entry, ecall, 503, "no rules yet");
+	else if (!mem_fresh(node->member))
+		fail(entry, ecall, 503, "rules may be out of date");
+	else if (cfg_authorize(node->rules, call->request) == NULL)
+		fail(entry, ecall, 401, "key is not valid for this account");
+	else if (call->request->kind != APS__CALL_KIND__END &&
+		 rul_target(node->rules, call->request->target) == NULL)
+		fail(entry, ecall, 404, "unknown model or service");
+	return id;
+}
+
+void ent_cancel(struct entry *entry, uint64_t call_id)
+{
+	struct ecall *call = g_hash_table_lookup(entry->calls, &call_id);
+	Aps__Peer peer = APS__PEER__INIT;
+	Aps__CallCancel cancel = APS__CALL_CANCEL__INIT;
+
+	if (call == NULL)
+		return;
+	cancel.call_id = call_id;
+	cancel.program = call->request->program;
+	cancel.turn = call->request->turn;
+	peer.body_case = APS__PEER__BODY_CALL_CANCEL;
+	peer.call_cancel = &cancel;
+	if (call->sent)
+		nod_send_shard(entry->node, call->shard, &peer);
+	g_hash_table_remove(entry->calls, &call_id);
+}
+
+void ent_on_chunk(struct entry *entry, const Aps__CallChunk *chunk)
+{
+	struct ecall *call = g_hash_table_lookup(entry->calls, &chunk->call_id);
+	struct node *node = entry->node;
+	size_t skip;
+
+	if (call == NULL || chunk->offset > call->streamed->len)
+		return;
+	skip = call->streamed->len - chunk->offset;
+	if (skip >= chunk->text.len)
+		return;
+	node->io.chunk(node->io.arg, call->id, chunk->text.data + skip,
+		       chunk->text.len - skip);
+	g_byte_array_append(call->streamed, chunk->text.data + skip,
+			    (guint)(chunk->text.len - skip));
+}
+
+/* Whether the whole answer begins with what the caller already has. */
+static bool continues(const struct ecall *call, const Aps__Outcome *outcome)
+{
+	return outcome->answer.len >= call->streamed->len &&
+	       (call->streamed->len == 0 ||
+		memcmp(outcome->answer.data, call->streamed->data,
+		       call->streamed->len) == 0);
+}
+
+void ent_on_done(struct entry *entry, const Aps__CallDone *done)
+{
+	struct ecall *call = g_hash_table_lookup(entry->calls, &done->call_id);
+
+	if (call == NULL)
+		return;
+	if (done->moved) {
+		call->send_due_ms = nod_now(entry->node) + ENT_MOVED_MS;
+		call->owner_refused = true;
+		mem_poll_soon(entry->node->member);
+		return;
+	}
+	if (done->outcome == NULL)
+		return;
+	if (done->outcome->status == 200 && !continues(call, done->outcome)) {
+		fail(entry, call, 502, "answer changed while it was streamed");
+		return;
+	}
+	finish(entry, call, done->outcome);
+}
+
+static void send(struct entry *entry, struct ecall *call)
+{
+	struct node *node = entry->node;
+	Aps__Peer peer = APS__PEER__INIT;
+	Aps__Call msg = APS__CALL__INIT;
+	int64_t now = nod_now(node);
+
+	msg.call_id = call->id;
+	msg.deadline_ms = (uint32_t)(call->deadline_ms - now);
+	msg.streamed = nod_bytes(call->streamed->data, call->streamed->len);
+	msg.request = call->request;
+	peer.body_case = APS__PEER__BODY_CALL;
+	peer.call = &msg;
+	if (!nod_send_shard(node, call->shard, &peer))
+		return;
+	call->sent = true;
+	call->owner_refused = false;
+	call->sent_epoch = mem_epoch(node->member, call->shard);
+	call->send_due_ms = now + ENT_RESEND_MS;
+}
+
+/* A call that keeps no record may go to one owner only. */
+static bool may_send(const struct entry *entry, const struct ecall *call)
+{
+	return !call->sent || !call->request->transient ||
+	       call->request->repeatable || call->owner_refused ||
+	       mem_epoch(entry->node->member, call->shard) == call->sent_epoch;
+}
+
+static void call_tick(struct entry *entry, struct ecall *call)
+{
+	struct node *node = entry->node;
+	int64_t now = nod_now(node);
+	uint64_t epoch = mem_epoch(node->member, call->shard);
+
+	if (now >= call->deadline_ms) {
+		fail(entry, call, 504, "deadline passed");
+		return;
+	}
+	if (epoch != call->sent_epoch && !call->owner_refused)
+		call->send_due_ms = MIN(call->send_due_ms, now);
+	if (now < call->send_due_ms || epoch == 0)
+		return;
+	if (may_send(entry, call))
+		send(entry, call);
+	else
+		fail(entry, call, 502, "owner lost; the call may have run");
+}
+
+static void each_call(struct entry *entry,
+		      void (*fn)(struct entry *, struct ecall *))
+{
+	GList *calls = g_hash_table_get_values(entry->calls);
+
+	for (GList *l = calls; l != NULL; l = l->next)
+		fn(entry, l->data);
+	g_list_free(calls);
+}
+
+void ent_tick(struct entry *entry)
+{
+	each_call(entry, call_tick);
+}
+
+static void call_recheck(struct entry *entry, struct ecall *call)
+{
+	Aps__Peer peer = APS__PEER__INIT;
+	Aps__CallCancel cancel = APS__CALL_CANCEL__INIT;
+
+	if (cfg_authorize(entry->node->rules, call->request) != NULL)
+		return;
+	cancel.call_id = call->id;
+	cancel.program = call->request->program;
+	cancel.turn = call->request->turn;
+	cancel.stop = true;
+	peer.body_case = APS__PEER__BODY_CALL_CANCEL;
+	peer.call_cancel = &cancel;
+	if (call->sent)
+		nod_send_shard(entry->node, call->shard, &peer);
+	fail(entry, call, 401, "key was withdrawn");
+}
+
+void ent_on_rules(struct entry *entry)
+{
+	each_call(entry, call_recheck);
+}
+
+size_t ent_calls(const struct entry *entry)
+{
+	return g_hash_table_size(entry->calls);
+}
--- /dev/null
+++ b/decide/ledger.c
@@ -0,0 +1,165 @@
+/** @file ledger.c @brief Token buckets of client accounts. */
+#include <math.h>
+
+#include <glib.h>
+
+#include "ledger.h"
+
+enum {
+	MS_PER_S = 1000,
+	LED_WAIT_MAX_MS = 5000,
+};
+
+struct grant {
+	uint64_t ask_id;
+	uint32_t count;
+	int64_t expires_ms;
+};
+
+struct bucket {
+	double tokens;
+	int64_t filled_ms; /* may lie in the future: no refill before it */
+	uint32_t outstanding;
+	GArray *grants; /* struct grant */
+};
+
+struct ledger {
+	const struct clk *clk;
+	GHashTable *buckets;
+	int64_t taken_ms[SHD_COUNT]; /* when each shard was taken over */
+};
+
+static void bucket_free(void *p)
+{
+	struct bucket *b = p;
+
+	g_array_unref(b->grants);
+	g_free(b);
+}
+
+struct ledger *led_create(const struct clk *clk)
+{
+	struct ledger *led = g_new0(struct ledger, 1);
+
+	led->clk = clk;
+	led->buckets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     bucket_free);
+	return led;
+}
+
+void led_destroy(struct ledger *led)
+{
+	if (led == NULL)
+		return;
+	g_hash_table_unref(led->buckets);
+	g_free(led);
+}
+
+static gboolean in_shard(void *key, void *value, void *arg)
+{
+	(void)value;
+	return shd_of(SHD_LEDGER, key) == *(int *)arg;
+}
+
+void led_take_shard(struct ledger *led, int shard)
+{
+	led->taken_ms[shard] = clk_now_ms(led->clk);
+	g_hash_table_foreach_remove(led->buckets, in_shard, &shard);
+}
+
+static struct bucket *bucket_get(struct ledger *led, const char *account)
+{
+	struct bucket *b = g_hash_table_lookup(led->buckets, account);
+
+	if (b != NULL)
+		return b;
+	b = g_new0(struct bucket, 1);
+	b->filled_ms =
+		led->taken_ms[shd_of(SHD_LEDGER, account)] + LED_GRANT_LIFE_MS;
+	b->grants = g_array_new(FALSE, TRUE, sizeof(struct grant));
+	g_hash_table_insert(led->buckets, g_strdup(account), b);
+	return b;
+}
+
+static void bucket_expire(struct bucket *b, int64_t now)
+{
+	for (guint i = b->grants->len; i-- > 0;) {
+		struct grant *g = &g_array_index(b->grants, struct grant, i);
+
+		if (g->expires_ms > now)
+			continue;
+		b->outstanding -= g->count;
+		g_array_remove_index(b->grants, i);
+	}
+}
+
+static void bucket_report(struct bucket *b, const Aps__GrantReport *report)
+{
+	for (guint i = 0; i < b->grants->len; i++) {
+		struct grant *g = &g_array_index(b->grants, struct grant, i);
+		uint32_t used;
+		uint32_t unused;
+
+		if (g->ask_id != report->ask_id)
+			continue;
+		used = MIN(report->used, g->count);
+		unused = MIN(report->unused, g->count - used);
+		g->count -= used + unused;
+		b->outstanding -= used + unused;
+		b->tokens += unused;
+		if (g->count == 0)
+			g_array_remove_index(b->grants, i);
+		return;
+	}
+}
+
+static void bucket_fill(struct bucket *b, const struct rul_account *account,
+			int64_t now)
+{
+	double room = fmax(0, account->burst - b->outstanding);
+
+	if (now > b->filled_ms) {
+		b->tokens +=
+			account->rate * (double)(now - b->filled_ms) / MS_PER_S;
+		b->filled_ms = now;
+	}
+	b->tokens = fmin(b->tokens, room);
+}
+
+static uint32_t wait_for_token(const struct bucket *b,
+			       const struct rul_account *account, int64_t now)
+{
+	double ms = (1 - b->tokens) / account->rate * MS_PER_S;
+
+	if (b->filled_ms > now)
+		ms += (double)(b->filled_ms - now);
+	return (uint32_t)fmin(fmax(ceil(ms), 1), LED_WAIT_MAX_MS);
+}
+
+uint32_t led_grant(struct ledger *led, const struct rul_account *account,
+		   const Aps__GrantAsk *ask, uint32_t *wait_ms)
+{
+	int64_t now = clk_now_ms(led->clk);
+	struct bucket *b = bucket_get(led, account->name);
+	struct grant grant = {.ask_id = ask->ask_id};
+
+	/* Refill under the room that the grants left until now. */
+	bucket_expire(b, now);
+	bucket_fill(b, account, now);
+	for (size_t i = 0; i < ask->n_reports; i++)
+		bucket_report(b, ask->reports[i]);
+	*wait_ms = 0;
+	if (ask->want == 0)
+		return 0;
+	grant.count = (uint32_t)fmin(fmin(floor(b->tokens), ask->want),
+				     LED_GRANT_MAX);
+	if (grant.count == 0) {
+		*wait_ms = wait_for_token(b, account, now);
+		return 0;
+	}
+	grant.expires_ms = now + LED_GRANT_LIFE_MS;
+	b->tokens -= grant.count;
+	b->outstanding += grant.count;
+	g_array_append_val(b->grants, grant);
+	return grant.count;
+}
--- /dev/null
+++ b/decide/member.h
@@ -0,0 +1,60 @@
+/**
+ * @file member.h
+ * @brief Membership: who is live, and who holds which shard.
+ */
+#ifndef APS_MEMBER_H
+#define APS_MEMBER_H
+
+#include "node_int.h"
+
+enum {
+	/** Time between polls of the table for changes, in ms. */
+	MEM_POLL_MS = 500,
+	/** Time without a good poll after which rules count as stale, in ms. */
+	MEM_STALE_MS = 4000,
+};
+
+/** Creates the view; it holds no shard. */
+struct member *mem_create(struct node *node);
+
+/** Frees the view; NULL is allowed. */
+void mem_destroy(struct member *member);
+
+/** Polls, claims, hands over. */
+void mem_tick(struct member *member);
+
+/** Polls at the next tick. */
+void mem_poll_soon(struct member *member);
+
+/** Returns whether this node decides for @p shard now. */
+bool mem_holds(const struct member *member, int shard);
+
+/** Returns whether the holder of @p shard is about to pass it on. */
+bool mem_handing(const struct member *member, int shard);
+
+/** Returns the epoch of @p shard as last seen, 0 if nobody held it. */
+uint64_t mem_epoch(const struct member *member, int shard);
+
+/** Returns the id of the holder of @p shard, or NULL. */
+const char *mem_holder(const struct member *member, int shard);
+
+/** Returns the address of instance @p id, or NULL. */
+const char *mem_addr(const struct member *member, const char *id);
+
+/** Returns the incarnation of the holder of @p shard, 0 if nobody holds it. */
+uint64_t mem_holder_incarnation(const struct member *member, int shard);
+
+/** Returns whether that incarnation of instance @p id may still act. */
+bool mem_alive(const struct member *member, const char *id,
+	       uint64_t incarnation);
+
+/** Returns the number of shards held. */
+int mem_held(const struct member *member);
+
+/** Returns whether the last good poll is recent enough to trust the rules. */
+bool mem_fresh(const struct member *member);
+
+/** Takes note that an instance is about to leave. */
+void mem_leaving_hint(struct member *member, const char *id);
+
+#endif
--- /dev/null
+++ b/decide/node_int.h
@@ -0,0 +1,123 @@
+/**
+ * @file node_int.h
+ * @brief What the modules of one node share.
+ */
+#ifndef APS_NODE_INT_H
+#define APS_NODE_INT_H
+
+#include <glib.h>
+
+#include "chart.h"
+#include "ledger.h"
+#include "node.h"
+#include "rng.h"
+#include "shard.h"
+
+struct commit;
+struct config;
+struct entry;
+struct member;
+struct owner;
+struct pools;
+struct marks;
+
+/** Receives the end of a table request; @p reply is NULL if none came. */
+typedef void (*nod_table_fn)(void *arg, const Aps__TableReply *reply);
+
+/** Receives the end of an object request. */
+typedef void (*nod_object_fn)(void *arg, bool ok, const uint8_t *buf,
+			      size_t len);
+
+/** Receives the end of a release order. */
+typedef void (*nod_release_fn)(void *arg, bool acknowledged,
+			       uint64_t incarnation);
+
+/** A node and its modules. */
+struct node {
+	char *id;
+	char *addr;
+	char *zone;
+	uint64_t incarnation;
+	uint32_t commit_gap_ms;
+	int policy;
+	const struct clk *clk;
+	struct nod_io io;
+	struct rng rng;
+	uint64_t counters[NOD_COUNTERS];
+	uint64_t last_id;
+	GHashTable *waits; /* cookie to struct wait */
+	GQueue *local;	   /* frames to this node itself */
+	struct chart *turn_chart;
+	struct chart *server_chart;
+	bool draining;
+	bool fenced;
+	struct rules *rules;
+	struct commit *commit;
+	struct member *member;
+	struct config *config;
+	struct entry *entry;
+	struct owner *owner;
+	struct ledger *ledger;
+	struct pools *pools;
+	struct marks *marks;
+};
+
+/** Returns the time in ms. */
+static inline int64_t nod_now(const struct node *node)
+{
+	return clk_now_ms(node->clk);
+}
+
+/** Adds @p n to a counter. */
+static inline void nod_count(struct node *node, enum nod_counter counter,
+			     uint64_t n)
+{
+	node->counters[counter] += n;
+}
+
+/** Returns an id that this incarnation has not used. */
+static inline uint64_t nod_next_id(struct node *node)
+{
+	return ++node->last_id;
+}
+
+/** Logs a change of state. */
+void nod_log(struct node *node, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
+
+/** Sends a table request. */
+void nod_table(struct node *node, const Aps__TableRequest *request,
+	       nod_table_fn fn, void *arg);
+
+/** Stores an object. */
+void nod_object_put(struct node *node, const char *key, const uint8_t *buf,
+		    size_t len, nod_object_fn fn, void *arg);
+
+/** Reads an object. */
+void nod_object_get(struct node *node, const char *key, nod_object_fn fn,
+		    void *arg);
+
+/** Orders a server to release a program's memory. */
+void nod_release(struct node *node, const char *addr, const char *program,
+		 uint64_t fence, nod_release_fn fn, void *arg);
+
+/** Sends @p msg to instance @p to; sets its version and origin. */
+void nod_send(struct node *node, const char *to, Aps__Peer *msg);
+
+/** Sends @p msg to the holder of @p shard. @return false if none is known */
+bool nod_send_shard(struct node *node, int shard, Aps__Peer *msg);
+
+/** Returns a copy of @p request; aps__request__free_unpacked() it. */
+Aps__Request *nod_request_dup(const Aps__Request *request);
+
+/** Returns a copy of @p outcome; aps__outcome__free_unpacked() it. */
+Aps__Outcome *nod_outcome_dup(const Aps__Outcome *outcome);
+
+/** Wraps a string for a message; it is not copied. */
+static inline ProtobufCBinaryData nod_bytes(const void *buf, size_t len)
+{
+	ProtobufCBinaryData data = {.len = len, .data = (uint8_t *)buf};
+
+	return data;
+}
+
+#endif
--- /dev/null
+++ b/decide/owner_life.c
@@ -0,0 +1,394 @@
+/** @file owner_life.c @brief Life of programs: load, budget, end, release. */
+#include <string.h>
+
+#include "commit.h"
+#include "member.h"
+#include "owner_int.h"
+
+enum {
+	OWN_RELEASE_RETRY_MS = 1000,
+	OWN_BUDGET_RETRY_MS = 100,
+	OWN_RETAIN_MS = 3600000, /* how long an ended program's row is kept */
+	OWN_SEGMENT_RETRY_MS = 500,
+	MS_PER_S = 1000,
+};
+
+void own_suspect_pool(struct owner *owner, struct program *program,
+		      const char *target_name)
+{
+	const struct rules *rules = owner->node->rules;
+	const struct rul_target *target =
+		rules != NULL ? rul_target(rules, target_name) : NULL;
+
+	for (guint i = 0; target != NULL && i < rules->servers->len; i++) {
+		const struct rul_server *server = rules->servers->pdata[i];
+
+		if (strcmp(server->pool, target->pool) == 0)
+			prg_add_server(program, server->name, 0);
+	}
+}
+
+/*
+ * A run was under way when the former owner was lost. What it reserved counts
+ * as spent; what must not run twice is recorded as possibly run.
+ */
+static void recover(struct owner *owner, struct program *program)
+{
+	Aps__Started *started = program->started;
+	Aps__Request request = APS__REQUEST__INIT;
+	Aps__Outcome outcome = APS__OUTCOME__INIT;
+
+	if (started == NULL)
+		return;
+	program->used += started->reserved;
+	own_suspect_pool(owner, program, started->target);
+	if (!started->repeatable) {
+		request.body_hash = started->body_hash;
+		request.turn = started->turn;
+		request.body = started->body;
+		outcome.status = 502;
+		outcome.executed = APS__EXECUTED__UNKNOWN;
+		outcome.step = (char *)"owner";
+		outcome.peer = owner->node->id;
+		outcome.reason = (char *)"its owner was lost; it may have run";
+		prg_append(program, &request, &outcome);
+	}
+	program->started = NULL;
+	aps__started__free_unpacked(started, NULL);
+}
+
+void own_load(struct owner *owner, int shard, const Aps__Row *row)
+{
+	struct program *program;
+
+	if (row->deleted)
+		return;
+	program = prg_unpack(row->value.data, row->value.len);
+	if (program == NULL) {
+		nod_log(owner->node, "owner: row %s is malformed", row->key);
+		return;
+	}
+	if (program->shard != shard ||
+	    g_hash_table_contains(owner->programs, program->id)) {
+		prg_destroy(program);
+		return;
+	}
+	program->owner = owner;
+	program->budgeted = true;
+	program->last_used_ms = nod_now(owner->node);
+	program->ended_ms = program->last_used_ms;
+	recover(owner, program);
+	g_hash_table_insert(owner->programs, program->id, program);
+}
+
+static bool program_idle(const struct program *program)
+{
+	const struct turn *turn;
+
+	if (program->pending > 0)
+		return false;
+	cds_list_for_each_entry(turn, &program->turns, link) {
+		if (turn->state != TURN_ANSWERED)
+			return false;
+	}
+	return true;
+}
+
+bool own_shard_idle(const struct owner *owner, int shard)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, owner->programs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct program *program = value;
+
+		if (program->shard == shard && !program_idle(program))
+			return false;
+	}
+	return true;
+}
+
+void own_shard_stop(struct owner *owner, int shard)
+{
+	GList *programs = g_hash_table_get_values(owner->programs);
+
+	for (GList *l = programs; l != NULL; l = l->next) {
+		struct program *program = l->data;
+
+		if (program->shard != shard)
+			continue;
+		/* A shard is passed on idle, so this is a lost lease. */
+		if (program_idle(program)) {
+			own_drop(owner, program);
+			continue;
+		}
+		nod_log(owner->node, "owner: shard %d lost while in use",
+			shard);
+		owner->node->fenced = true;
+	}
+	g_list_free(programs);
+}
+
+static void on_segment_read(void *arg, bool ok, const uint8_t *buf, size_t len)
+{
+	struct program *program = arg;
+
+	program->pending--;
+	program->reading = false;
+	if (ok && buf != NULL)
+		(void)prg_segment_read(program, buf, len);
+}
+
+void own_read_segment(struct owner *owner, struct program *program)
+{
+	const char *name;
+
+	if (program->reading || program->missing == 0)
+		return;
+	name = program->segments->pdata[program->missing - 1];
+	program->reading = true;
+	program->pending++;
+	nod_object_get(owner->node, name, on_segment_read, program);
+}
+
+static void on_segment_stored(void *arg, bool ok, const uint8_t *buf,
+			      size_t len)
+{
+	struct program *program = arg;
+	char *name = program->moving;
+
+	(void)buf;
+	(void)len;
+	program->pending--;
+	program->moving = NULL;
+	if (ok) {
+		prg_segment_moved(program, name);
+		own_save(program->owner, program, NULL);
+	}
+	g_free(name);
+}
+
+void own_move_segment(struct owner *owner, struct program *program)
+{
+	uint8_t *buf;
+	size_t len;
+
+	if (!prg_segment_due(program))
+		return;
+	buf = prg_segment_pack(program, &program->moving, &len);
+	program->pending++;
+	nod_object_put(owner->node, program->moving, buf, len,
+		       on_segment_stored, program);
+	g_free(buf);
+}
+
+void own_ask_budget(struct owner *owner, struct program *program)
+{
+	Aps__Peer peer = APS__PEER__INIT;
+	Aps__BudgetMove msg = APS__BUDGET_MOVE__INIT;
+	int64_t now = nod_now(owner->node);
+
+	if (now < program->move_due_ms)
+		return;
+	program->move_due_ms = now + OWN_BUDGET_RETRY_MS;
+	msg.parent = program->parent;
+	msg.child = program->id;
+	msg.amount = program->budget;
+	msg.account = program->account;
+	peer.body_case = APS__PEER__BODY_BUDGET_MOVE;
+	peer.budget_move = &msg;
+	(void)nod_send_shard(owner->node, shd_of(SHD_PROGRAM, program->parent),
+			     &peer);
+}
+
+static void send_moved(struct owner *owner, const char *to,
+		       const Aps__BudgetMove *msg, const char *refusal)
+{
+	Aps__Peer peer = APS__PEER__INIT;
+	Aps__BudgetMoved reply = APS__BUDGET_MOVED__INIT;
+
+	reply.parent = msg->parent;
+	reply.child = msg->child;
+	reply.granted = refusal == NULL;
+	reply.reason = (char *)(refusal != NULL ? refusal : "");
+	peer.body_case = APS__PEER__BODY_BUDGET_MOVED;
+	peer.budget_moved = &reply;
+	nod_send(owner->node, to, &peer);
+}
+
+static bool has_child(const struct program *program, const char *child)
+{
+	for (guint i = 0; i < program->children->len; i++) {
+		const Aps__Child *c = program->children->pdata[i];
+
+		if (strcmp(c->program, child) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void add_child(struct program *program, const Aps__BudgetMove *msg)
+{
+	Aps__Child child = APS__CHILD__INIT;
+	uint8_t *buf;
+	size_t len;
+
+	child.program = msg->child;
+	child.amount = msg->amount;
+	len = aps__child__get_packed_size(&child);
+	buf = g_malloc(len + 1);
+	aps__child__pack(&child, buf);
+	g_ptr_array_add(program->children, aps__child__unpack(NULL, len, buf));
+	g_free(buf);
+	program->used += msg->amount;
+}
+
+void own_on_budget_move(struct owner *owner, const char *from,
+			const Aps__BudgetMove *msg)
+{
+	struct program *program;
+	uint64_t reserved;
+
+	/* The child's owner asks again until it gets an answer. */
+	if (!mem_holds(owner->node->member, shd_of(SHD_PROGRAM, msg->parent)))
+		return;
+	program = g_hash_table_lookup(owner->programs, msg->parent);
+	if (program == NULL || strcmp(program->account, msg->account) != 0) {
+		send_moved(owner, from, msg, "no such parent program");
+		return;
+	}
+	if (has_child(program, msg->child)) {
+		if (program->pending == 0)
+			send_moved(owner, from, msg, NULL);
+		return;
+	}
+	if (program->ended) {
+		send_moved(owner, from, msg, "the parent program has ended");
+		return;
+	}
+	reserved = program->started != NULL ? program->started->reserved : 0;
+	if (program->used + reserved + msg->amount > program->budget) {
+		send_moved(owner, from, msg,
+			   "the parent's budget is too small");
+		return;
+	}
+	add_child(program, msg);
+	own_save(owner, program, NULL);
+}
+
+void own_on_budget_moved(struct owner *owner, const Aps__BudgetMoved *msg)
+{
+	struct program *program =
+		g_hash_table_lookup(owner->programs, msg->child);
+
+	if (program == NULL || program->budgeted)
+		return;
+	if (msg->granted) {
+		program->budgeted = true;
+		own_advance(owner, program);
+		return;
+	}
+	while (!cds_list_empty(&program->turns))
+		own_refuse(cds_list_first_entry(&program->turns, struct turn,
+						link),
+			   402, msg->reason);
+	own_drop(owner, program);
+}
+
+void own_end(struct owner *owner, struct program *program, const char *reason)
+{
+	if (program->ended)
+		return;
+	program->ended = true;
+	program->ended_ms = nod_now(owner->node);
+	g_free(program->end_reason);
+	program->end_reason = g_strdup(reason);
+}
+
+static void on_released(void *arg, bool acknowledged, uint64_t incarnation)
+{
+	struct prg_server *server = arg;
+	struct program *program = server->program;
+	struct node *node = program->owner->node;
+	bool restarted = server->incarnation != 0 && incarnation != 0 &&
+			 incarnation != server->incarnation;
+
+	program->pending--;
+	server->ordered = false;
+	if (!acknowledged && !restarted) {
+		server->due_ms = nod_now(node) + OWN_RELEASE_RETRY_MS;
+		return;
+	}
+	nod_count(node, NOD_RELEASES, 1);
+	g_ptr_array_remove(program->servers, server);
+	own_save(program->owner, program, NULL);
+}
+
+static void order_release(struct owner *owner, struct program *program,
+			  struct prg_server *server)
+{
+	struct node *node = owner->node;
+	const struct rul_server *rule = rul_server(node->rules, server->name);
+
+	if (server->ordered || nod_now(node) < server->due_ms)
+		return;
+	server->due_ms = nod_now(node) + OWN_RELEASE_RETRY_MS;
+	/* A server that no rule names may come back: the order stays due. */
+	if (rule == NULL)
+		return;
+	server->ordered = true;
+	program->pending++;
+	nod_release(node, rule->addr, program->id,
+		    mem_epoch(node->member, program->shard), on_released,
+		    server);
+}
+
+static void remove_program(struct owner *owner, struct program *program)
+{
+	char *key = prg_key(program);
+
+	if (program->stored)
+		cmt_put(owner->node->commit, key, NULL, 0, NULL, NULL);
+	own_drop(owner, program);
+	g_free(key);
+}
+
+void own_life_tick(struct owner *owner, struct program *program)
+{
+	int64_t now = nod_now(owner->node);
+	int64_t idle_ms = (int64_t)owner->node->rules->idle_s * MS_PER_S;
+
+	if (!program->stored) {
+		if (cds_list_empty(&program->turns) && program->pending == 0)
+			own_drop(owner, program);
+		return;
+	}
+	if (!program->ended && cds_list_empty(&program->turns) &&
+	    now - program->last_used_ms > idle_ms) {
+		own_end(owner, program, "idle limit");
+		own_save(owner, program, NULL);
+	}
+	if (!program->ended || program->pending > 0)
+		return;
+	for (guint i = 0; i < program->servers->len; i++)
+		order_release(owner, program, program->servers->pdata[i]);
+	if (program->servers->len == 0 && cds_list_empty(&program->turns) &&
+	    now - program->ended_ms > OWN_RETAIN_MS)
+		remove_program(owner, program);
+}
+
+size_t own_programs(const struct owner *owner)
+{
+	GHashTableIter iter;
+	size_t count = 0;
+	void *value;
+
+	g_hash_table_iter_init(&iter, owner->programs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct program *program = value;
+
+		count += !program->ended;
+	}
+	return count;
+}
--- /dev/null
+++ b/decide/server.c
@@ -0,0 +1,184 @@
+/** @file server.c @brief One backend server as its dispatcher sees it. */
+#include "server.h"
+
+/* Growth of the limit for each timely answer, in requests. */
+#define SRV_GROWTH 0.25
+
+static const char *const srv_states[] = {"ramping", "steady", "down", NULL};
+static const char *const srv_events[] = {"full", "slow",  "restart",
+					 "fail", "retry", NULL};
+
+const struct chart_names srv_chart_names = {
+	.states = srv_states,
+	.events = srv_events,
+};
+
+struct server *srv_create(const struct chart *chart,
+			  const struct rul_server *rule)
+{
+	struct server *server = g_new0(struct server, 1);
+
+	server->chart = chart;
+	server->name = g_strdup(rule->name);
+	server->limit = SRV_LIMIT_START;
+	server->cache =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	server->lru = g_queue_new();
+	srv_update(server, rule);
+	return server;
+}
+
+void srv_destroy(struct server *server)
+{
+	if (server == NULL)
+		return;
+	g_free(server->name);
+	g_free(server->addr);
+	g_free(server->zone);
+	g_queue_free(server->lru);
+	g_hash_table_unref(server->cache);
+	g_free(server);
+}
+
+static void forget_cache(struct server *server)
+{
+	g_queue_clear(server->lru);
+	g_hash_table_remove_all(server->cache);
+}
+
+static void step(struct server *server, enum srv_event event)
+{
+	int next = chart_step(server->chart, server->state, event);
+
+	if (next >= 0)
+		server->state = next;
+}
+
+static void ramp_again(struct server *server, enum srv_event event)
+{
+	step(server, event);
+	server->limit = SRV_LIMIT_START;
+}
+
+void srv_update(struct server *server, const struct rul_server *rule)
+{
+	bool returned = server->out && !rule->out;
+
+	g_free(server->addr);
+	g_free(server->zone);
+	server->addr = g_strdup(rule->addr);
+	server->zone = g_strdup(rule->zone);
+	server->max = rule->max;
+	server->fencing = rule->fencing;
+	server->out = rule->out;
+	server->line = rule->out ? rule->out_line : rule->line;
+	if (returned)
+		ramp_again(server, SRV_RESTART);
+}
+
+bool srv_usable(const struct server *server)
+{
+	return !server->out && server->state != SRV_DOWN;
+}
+
+bool srv_can_start(struct server *server, int64_t now, bool solo)
+{
+	if (server->out || server->solo > 0)
+		return false;
+	if (server->state == SRV_DOWN && now < server->retry_ms)
+		return false;
+	if (server->state == SRV_DOWN)
+		ramp_again(server, SRV_RETRY);
+	if (solo)
+		return server->inflight == 0;
+	if (server->failures > 0)
+		return server->inflight == 0;
+	return server->inflight + 1 <= server->limit &&
+	       server->inflight < server->max;
+}
+
+void srv_started(struct server *server, bool solo)
+{
+	server->inflight++;
+	server->solo += solo;
+}
+
+void srv_ended(struct server *server, bool solo)
+{
+	if (server->inflight > 0)
+		server->inflight--;
+	if (server->solo > 0)
+		server->solo -= solo;
+}
+
+void srv_answered(struct server *server, bool timely)
+{
+	server->failures = 0;
+	if (!timely) {
+		ramp_again(server, SRV_SLOW);
+		return;
+	}
+	if (server->state != SRV_RAMPING)
+		return;
+	server->limit += SRV_GROWTH;
+	if (server->limit < server->max)
+		return;
+	server->limit = server->max;
+	step(server, SRV_FULL);
+}
+
+void srv_failed(struct server *server, int64_t now)
+{
+	int64_t backoff = SRV_BACKOFF_MS;
+
+	for (uint32_t i = 0; i < server->failures; i++)
+		backoff = MIN(backoff * 2, SRV_BACKOFF_MAX_MS);
+	server->failures++;
+	server->retry_ms = now + backoff;
+	server->limit = SRV_LIMIT_START;
+	forget_cache(server);
+	step(server, SRV_FAIL);
+}
+
+void srv_see_incarnation(struct server *server, uint64_t incarnation)
+{
+	if (incarnation == 0 || incarnation == server->incarnation)
+		return;
+	if (server->incarnation != 0) {
+		ramp_again(server, SRV_RESTART);
+		forget_cache(server);
+	}
+	server->incarnation = incarnation;
+}
+
+uint32_t srv_cached(const struct server *server, const char *program)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(server->cache, program));
+}
+
+void srv_cache(struct server *server, const char *program, uint32_t tokens)
+{
+	void *key;
+
+	if (g_hash_table_lookup_extended(server->cache, program, &key, NULL)) {
+		g_queue_remove(server->lru, key);
+		g_hash_table_steal(server->cache, program);
+	} else {
+		key = g_strdup(program);
+	}
+	g_queue_push_head(server->lru, key);
+	g_hash_table_insert(server->cache, key, GUINT_TO_POINTER(tokens));
+	while (g_queue_get_length(server->lru) > SRV_CACHE_PROGRAMS)
+		g_hash_table_remove(server->cache,
+				    g_queue_pop_tail(server->lru));
+}
+
+void srv_uncache(struct server *server, const char *program)
+{
+	void *key;
+
+	if (!g_hash_table_lookup_extended(server->cache, program, &key, NULL))
+		return;
+	g_queue_remove(server->lru, key);
+	g_hash_table_remove(server->cache, program);
+}
--- /dev/null
+++ b/test/sim/clients.c
@@ -0,0 +1,376 @@
+/** @file clients.c @brief Callers that drive agent programs. */
+#include <stdio.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "test/sim/clients.h"
+
+enum {
+	RETRY_MS = 200,
+	NODE_SHIFT = 56,
+	GENERATION_SHIFT = 40,
+};
+
+static struct prog *calling; /* whose nod_call() is under way */
+
+static void prog_free(void *p)
+{
+	struct prog *prog = p;
+
+	g_byte_array_unref(prog->streamed);
+	g_ptr_array_unref(prog->bodies);
+	g_array_unref(prog->answered);
+	g_array_unref(prog->not_run);
+	g_free(prog);
+}
+
+void cli_create(struct world *w)
+{
+	w->progs = g_ptr_array_new_with_free_func(prog_free);
+}
+
+void cli_destroy(struct world *w)
+{
+	g_ptr_array_unref(w->progs);
+}
+
+void cli_stop(struct world *w)
+{
+	for (guint i = 0; i < w->progs->len; i++) {
+		struct prog *prog = w->progs->pdata[i];
+
+		prog->finished = true;
+		prog->calling = false;
+	}
+}
+
+struct prog *cli_add(struct world *w, int account, int turns)
+{
+	struct prog *prog = g_new0(struct prog, 1);
+
+	prog->world = w;
+	prog->index = (int)w->progs->len;
+	prog->account = account;
+	prog->turns = turns;
+	prog->out_tokens = 40;
+	prog->pause_ms = 200;
+	prog->parent = -1;
+	prog->streamed = g_byte_array_new();
+	prog->bodies = g_ptr_array_new_with_free_func(g_free);
+	prog->answered = g_array_new(FALSE, TRUE, sizeof(bool));
+	prog->not_run = g_array_new(FALSE, TRUE, sizeof(struct cli_not_run));
+	g_array_set_size(prog->answered, (guint)turns);
+	g_ptr_array_add(w->progs, prog);
+	return prog;
+}
+
+static uint64_t call_key(const struct wld_node *n, uint64_t call_id)
+{
+	return ((uint64_t)n->index << NODE_SHIFT) |
+	       (n->generation << GENERATION_SHIFT) | call_id;
+}
+
+static void prepare_turn(struct prog *prog)
+{
+	struct world *w = prog->world;
+	GString *body = g_string_new(NULL);
+
+	prog->tool = (int)rng_below(&w->rng, 100) < prog->tool_percent &&
+		     w->params.desks > 0;
+	prog->out = 1 + (int)rng_below(&w->rng, (uint64_t)prog->out_tokens);
+	prog->tries = 0;
+	prog->turn_ms = w->now_ms;
+	g_string_printf(body,
+			"{\"role\":\"user\",\"content\":\"<P%d.%d@%d%s> "
+			"out=%d %s ",
+			prog->index, prog->turn, prog->account,
+			prog->tool ? "!" : "", prog->out,
+			prog->turn == 0 && prog->poison != NULL ? prog->poison
+								: "");
+	for (int i = 0; i < prog->body_bytes; i++)
+		g_string_append_c(body, 'x');
+	g_string_append(body, "\"}");
+	g_ptr_array_add(prog->bodies, g_string_free(body, FALSE));
+}
+
+static void set_hashes(const struct prog *prog, Aps__Request *request,
+		       uint8_t *key, uint8_t *hash)
+{
+	const char *account = prog->world->accounts[prog->account].name;
+	crypto_hash_sha256_state state;
+
+	crypto_hash_sha256(key, (const unsigned char *)account,
+			   strlen(account));
+	crypto_hash_sha256_init(&state);
+	crypto_hash_sha256_update(&state, (const uint8_t *)request->target,
+				  strlen(request->target));
+	crypto_hash_sha256_update(&state, request->body.data,
+				  request->body.len);
+	crypto_hash_sha256_final(&state, hash);
+	request->key_hash.data = key;
+	request->key_hash.len = crypto_hash_sha256_BYTES;
+	request->body_hash.data = hash;
+	request->body_hash.len = crypto_hash_sha256_BYTES;
+}
+
+static void fill_turn(const struct prog *prog, Aps__Request *request)
+{
+	char *body = prog->bodies->pdata[prog->turn];
+
+	request->turn = (uint32_t)prog->turn;
+	request->kind =
+		prog->tool ? APS__CALL_KIND__SERVICE : APS__CALL_KIND__MODEL;
+	request->target = (char *)(prog->tool ? "orders" : "kitchen");
+	request->repeatable = !prog->tool;
+	request->transient = prog->one_shot;
+	request->max_out = (uint32_t)prog->out_tokens;
+	request->budget = prog->budget;
+	request->body.data = (uint8_t *)body;
+	request->body.len = strlen(body);
+}
+
+static void on_timeout(struct world *w, void *arg);
+static void on_call(struct world *w, void *arg);
+
+static void call(struct prog *prog, struct wld_node *n)
+{
+	struct world *w = prog->world;
+	Aps__Request request = APS__REQUEST__INIT;
+	struct nod_call msg = {.request = &request,
+			       .deadline_ms = CLI_DEADLINE_MS};
+	char program[64];
+	char parent[64];
+	uint8_t key[crypto_hash_sha256_BYTES];
+	uint8_t hash[crypto_hash_sha256_BYTES];
+	uint64_t id;
+
+	snprintf(program, sizeof(program), "%s/P%d%s",
+		 w->accounts[prog->account].name, prog->index,
+		 prog->one_shot ? "-once" : "");
+	request.program = program;
+	request.account = w->accounts[prog->account].name;
+	if (prog->parent >= 0) {
+		snprintf(parent, sizeof(parent), "%s/P%d", request.account,
+			 prog->parent);
+		request.parent = parent;
+	}
+	if (prog->turn < prog->turns)
+		fill_turn(prog, &request);
+	else
+		request.kind = APS__CALL_KIND__END;
+	set_hashes(prog, &request, key, hash);
+	prog->calling = true;
+	prog->called_ms = w->now_ms;
+	prog->node = n->index;
+	prog->call_key = 0;
+	prog->timeout_id++;
+	g_byte_array_set_size(prog->streamed, 0);
+	calling = prog;
+	id = nod_call(n->node, &msg);
+	calling = NULL;
+	if (!prog->calling)
+		return;
+	prog->call_key = call_key(n, id);
+	wld_after(w, CLI_TIMEOUT_MS, on_timeout, prog);
+}
+
+static void on_call(struct world *w, void *arg)
+{
+	struct prog *prog = arg;
+	struct wld_node *n;
+
+	if (prog->finished || prog->calling)
+		return;
+	if (prog->turn < prog->turns && (int)prog->bodies->len <= prog->turn)
+		prepare_turn(prog);
+	n = wld_pick_node(w);
+	if (n == NULL) {
+		wld_after(w, RETRY_MS, on_call, prog);
+		return;
+	}
+	if (++prog->tries > CLI_TRIES_MAX) {
+		prog->finished = true;
+		prog->status = 599;
+		return;
+	}
+	call(prog, n);
+}
+
+void cli_start(struct prog *prog, double delay_ms)
+{
+	prog->started_ms = prog->world->now_ms + (int64_t)delay_ms;
+	wld_after(prog->world, delay_ms, on_call, prog);
+}
+
+static void call_again(struct prog *prog, double delay_ms)
+{
+	prog->calling = false;
+	prog->call_key = 0;
+	wld_after(prog->world, delay_ms, on_call, prog);
+}
+
+/* Timers are not cancelled: only the last one finds its call. */
+static void on_timeout(struct world *w, void *arg)
+{
+	struct prog *prog = arg;
+
+	if (prog->calling && w->now_ms - prog->called_ms >= CLI_TIMEOUT_MS)
+		call_again(prog, 0);
+}
+
+static struct prog *find(struct wld_node *n, uint64_t call_id)
+{
+	uint64_t key = call_key(n, call_id);
+
+	for (guint i = 0; i < n->world->progs->len; i++) {
+		struct prog *prog = n->world->progs->pdata[i];
+
+		if (prog->calling && prog->call_key == key)
+			return prog;
+	}
+	/* The reply came before the call returned its id. */
+	return calling != NULL && calling->call_key == 0 &&
+			       calling->node == n->index
+		       ? calling
+		       : NULL;
+}
+
+void cli_on_chunk(struct wld_node *n, uint64_t call_id, const uint8_t *buf,
+		  size_t len)
+{
+	struct prog *prog = find(n, call_id);
+
+	if (prog != NULL)
+		g_byte_array_append(prog->streamed, buf, (guint)len);
+}
+
+static void check_answer(struct prog *prog, const Aps__Outcome *outcome,
+			 size_t streamed)
+{
+	const char *body = prog->bodies->pdata[prog->turn];
+	char *want = mdl_answer(body, strlen(body));
+	bool ok = outcome->answer.len == strlen(want) &&
+		  memcmp(outcome->answer.data, want, strlen(want)) == 0 &&
+		  prog->streamed->len == streamed && streamed <= strlen(want) &&
+		  memcmp(prog->streamed->data != NULL ? prog->streamed->data
+						      : (const uint8_t *)"",
+			 want, streamed) == 0;
+
+	if (!ok)
+		wld_fault(prog->world, "answer: P%d.%d got another answer",
+			  prog->index, prog->turn);
+	g_free(want);
+}
+
+static void turn_over(struct prog *prog, bool answered)
+{
+	struct world *w = prog->world;
+	double pause = (double)rng_below(&w->rng, (uint64_t)prog->pause_ms + 1);
+
+	g_array_index(prog->answered, bool, prog->turn) = answered;
+	prog->turn++;
+	prog->calling = false;
+	prog->tries = 0;
+	if (prog->turn == prog->turns) {
+		prog->done_ms = w->now_ms;
+		prog->finished = prog->keep || prog->one_shot;
+		pause = 0;
+	} else {
+		prog->pauses_ms += (int64_t)pause;
+	}
+	if (!prog->finished)
+		wld_after(w, pause, on_call, prog);
+}
+
+static void on_end_reply(struct prog *prog, const Aps__Outcome *outcome)
+{
+	prog->calling = false;
+	if (outcome->status != 200 && outcome->status != 404) {
+		call_again(prog, RETRY_MS);
+		return;
+	}
+	prog->ended = true;
+	prog->finished = true;
+}
+
+static bool stops(uint32_t status)
+{
+	return status == 401 || status == 402 || status == 404 ||
+	       status == 409 || status == 410 || status == 422;
+}
+
+static void on_not_run(struct prog *prog, const Aps__Outcome *outcome)
+{
+	struct cli_not_run note = {.turn = prog->turn,
+				   .called_ms = prog->called_ms,
+				   .replied_ms = prog->world->now_ms};
+
+	g_array_append_val(prog->not_run, note);
+	prog->refused_rate += outcome->status == 429;
+	if (stops(outcome->status)) {
+		prog->calling = false;
+		prog->finished = true;
+		prog->status = outcome->status;
+		return;
+	}
+	call_again(prog, RETRY_MS + outcome->retry_after_ms);
+}
+
+/* What may have run: a repeatable turn is sent again, others once more. */
+static void on_unknown(struct prog *prog, const Aps__Outcome *outcome)
+{
+	bool recorded = strcmp(outcome->step, "entry") != 0;
+
+	prog->unknown++;
+	if (prog->tool && recorded)
+		turn_over(prog, false);
+	else if (outcome->status == 401)
+		on_not_run(prog, outcome);
+	else
+		call_again(prog, RETRY_MS);
+}
+
+void cli_on_done(struct wld_node *n, uint64_t call_id,
+		 const Aps__Outcome *outcome, size_t streamed)
+{
+	struct prog *prog = find(n, call_id);
+
+	if (prog == NULL)
+		return;
+	if (prog->turn == prog->turns) {
+		on_end_reply(prog, outcome);
+	} else if (outcome->status == 200) {
+		check_answer(prog, outcome, streamed);
+		turn_over(prog, true);
+	} else if (outcome->executed == APS__EXECUTED__NO) {
+		on_not_run(prog, outcome);
+	} else {
+		on_unknown(prog, outcome);
+	}
+}
+
+void cli_node_gone(struct world *w, int node)
+{
+	for (guint i = 0; i < w->progs->len; i++) {
+		struct prog *prog = w->progs->pdata[i];
+
+		if (!prog->calling || prog->node != node)
+			continue;
+		if (w->nodes[node].drained)
+			wld_fault(w, "stop: P%d was cut off by %s", prog->index,
+				  w->nodes[node].id);
+		call_again(prog, RETRY_MS);
+	}
+}
+
+bool cli_all_finished(const struct world *w)
+{
+	for (guint i = 0; i < w->progs->len; i++) {
+		const struct prog *prog = w->progs->pdata[i];
+
+		if (!prog->finished)
+			return false;
+	}
+	return true;
+}
