The whole path as separate processes

Stand-ins for the table, an engine and a plain service, a caller, a demo, and a test with real processes.

Ruled out: CivetWeb's client (blocks until its buffer is full) and kept connections for runs (libcurl sends again when a kept one proves dead, a hidden second run).

Found: with the table gone an instance never finished its shutdown, since its shards could not be handed over. It now ends once its lease has lapsed and its callers are served.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Builds apricotshift and its tests. SAN=1 adds sanitizers.
 CC ?= gcc
 B = build$(if $(SAN),-san)
-PKGS = glib-2.0 json-c libcurl liburcu-mb libprotobuf-c libsodium
+PKGS = glib-2.0 json-c libcurl liburcu libprotobuf-c libsodium
 CFLAGS ?= -O2 -g
 CFLAGS += -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wformat=2 -I. $(shell pkg-config --cflags $(PKGS))
@@ -17,7 +17,7 @@
 APP = $(wildcard apricotshift/*.c)
 STANDIN = $(wildcard test/standins/*.c)
 SIM = $(wildcard test/sim/*.c)
-obj = $(patsubst %.c,$(B)/%.o,$(1))
+obj = $(patsubst %.c,$(B)/obj/%.o,$(1))
 CORE = $(call obj,$(DECIDE) $(PLATFORM))
 TESTS = $(patsubst test/unit/%.c,$(B)/unit/%,$(wildcard test/unit/test_*.c))
 
@@ -35,15 +35,17 @@
 $(B)/load: $(CORE) $(call obj,$(SIM) test/standins/model.c bench/load.c)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(B)/unit/%: $(CORE) $(B)/test/unit/%.o $(call obj,serve/http_parse.c)
+$(B)/unit/%: $(CORE) $(B)/obj/test/unit/%.o $(call obj,serve/http_parse.c)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 
-$(B)/%.o: %.c
+$(B)/obj/%.o: %.c
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
 
-$(B)/decide/charts.o: charts/turn.chart charts/server.chart
+$(B)/obj/decide/charts.o: charts/turn.chart charts/server.chart
+
+unit: $(TESTS)
 
 generate:
 	cd proto && protoc-c --c_out=. apricot.proto
@@ -52,4 +54,11 @@
 	rm -rf build build-san
 
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
-.PHONY: all clean generate
+# make demo runs the main job, make check every test.
+demo: all
+	./examples/demo.sh
+
+check:
+	./test/run.sh
+
+.PHONY: all unit demo check clean generate
--- /dev/null
+++ b/apricotshift/cmd.h
@@ -0,0 +1,33 @@
+/**
+ * @file cmd.h
+ * @brief The subcommands.
+ */
+#ifndef APS_CMD_H
+#define APS_CMD_H
+
+/** Exit codes of the program. */
+enum cmd_exit {
+	CMD_OK = 0,
+	CMD_FAULTS = 1, /**< what was checked has faults, or was refused */
+	CMD_USAGE = 2,
+	CMD_FAILED = 3, /**< something outside failed */
+};
+
+/** Runs one instance. */
+int cmd_serve(int argc, char **argv);
+/** Checks a rules file. */
+int cmd_check(int argc, char **argv);
+/** Makes a rules file the next revision. */
+int cmd_apply(int argc, char **argv);
+/** Prints the rules of a revision. */
+int cmd_show(int argc, char **argv);
+/** Prints who changed what, and when. */
+int cmd_audit(int argc, char **argv);
+/** Prints the rule behind an outcome. */
+int cmd_explain(int argc, char **argv);
+/** Prints an instance's state. */
+int cmd_status(int argc, char **argv);
+/** Prints the hash of a key read from standard input. */
+int cmd_key(int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/apricotshift/cmd_serve.c
@@ -0,0 +1,162 @@
+/** @file cmd_serve.c @brief Runs one instance. */
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "cmd.h"
+#include "decide/rules.h"
+#include "options.h"
+#include "platform/revision.h"
+#include "platform/tableclient.h"
+#include "platform/tableserver.h"
+#include "serve/http.h"
+#include "serve/log.h"
+#include "serve/loop.h"
+#include "serve/settings.h"
+
+enum {
+	US_PER_MS = 1000,
+};
+
+/* Waits for signals: the only thread that takes them. */
+static void *watch_signals(void *arg)
+{
+	struct loop *loop = arg;
+	sigset_t set;
+	int sig = 0;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
+	while (sigwait(&set, &sig) == 0) {
+		if (sig == SIGHUP) {
+			/* Rules come from the table; settings are for life. */
+			log_line(LOG_LEVEL_NOTICE,
+				 "serve: SIGHUP: rules are followed already");
+			continue;
+		}
+		log_line(LOG_LEVEL_NOTICE, "serve: %s: graceful shutdown",
+			 strsignal(sig));
+		loop_drain(loop);
+	}
+	return NULL;
+}
+
+static void block_signals(void)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
+	sigaddset(&set, SIGPIPE);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+}
+
+/* Makes the file the first revision of an embedded platform. */
+static bool load_rules(const char *platform, const char *path, GString *errors)
+{
+	struct rev_change change = {.who = "settings", .why = path};
+	Aps__TableRequest *request;
+	Aps__TableReply *reply = NULL;
+	struct rules *rules = NULL;
+	GError *error = NULL;
+	char *text = NULL;
+
+	if (!g_file_get_contents(path, &text, NULL, &error)) {
+		g_string_append_printf(errors, "%s\n", error->message);
+		g_error_free(error);
+		return false;
+	}
+	rules = rul_parse(text, 1, path, errors);
+	if (rules != NULL) {
+		randombytes_buf(&change.txn, sizeof(change.txn));
+		change.when_ms = (uint64_t)(g_get_real_time() / US_PER_MS);
+		change.text = text;
+		request = rev_request(&change);
+		reply = tcl_request(platform, request, errors);
+		aps__table_request__free_unpacked(request, NULL);
+	}
+	rul_destroy(rules);
+	g_free(text);
+	if (reply == NULL)
+		return false;
+	aps__table_reply__free_unpacked(reply, NULL);
+	return true;
+}
+
+static int run(const struct settings *settings, GString *errors)
+{
+	bool embedded = strcmp(settings->platform, SET_EMBEDDED) == 0;
+	char *platform = embedded ? g_strdup_printf("http://%s", settings->http)
+				  : g_strdup(settings->platform);
+	struct tableserver *table = NULL;
+	struct http *http = http_create(settings, errors);
+	struct loop *loop = NULL;
+	pthread_t watcher;
+	int status = CMD_FAILED;
+
+	if (http == NULL)
+		goto out;
+	if (embedded)
+		table = tsv_create(http_context(http));
+	if (embedded && settings->rules != NULL &&
+	    !load_rules(platform, settings->rules, errors))
+		goto out;
+	loop = loop_create(settings, platform, http_set_rules, http, errors);
+	if (loop == NULL ||
+	    pthread_create(&watcher, NULL, watch_signals, loop) != 0)
+		goto out;
+	http_serve(http, loop);
+	log_line(LOG_LEVEL_NOTICE, "serve: zone %s, callers at %s, peers at %s",
+		 settings->zone, settings->http, settings->peer);
+	loop_run(loop);
+	log_line(LOG_LEVEL_NOTICE, "serve: drained");
+	http_stop(http);
+	pthread_cancel(watcher);
+	pthread_join(watcher, NULL);
+	status = CMD_OK;
+out:
+	http_destroy(http);
+	loop_destroy(loop);
+	tsv_destroy(table);
+	g_free(platform);
+	return status;
+}
+
+int cmd_serve(int argc, char **argv)
+{
+	char *path = NULL;
+	gboolean check = FALSE;
+	GOptionEntry entries[] = {{"config", 'c', 0, G_OPTION_ARG_FILENAME,
+				   &path, "settings of this process", "FILE"},
+				  {"check", 'n', 0, G_OPTION_ARG_NONE, &check,
+				   "check the settings and stop", NULL},
+				  G_OPTION_ENTRY_NULL};
+	GString *errors = g_string_new(NULL);
+	struct settings *settings = NULL;
+	int status = CMD_USAGE;
+
+	if (!opt_parse(&argc, &argv, entries, 0, "serve -c SETTINGS [-n]") ||
+	    path == NULL)
+		goto out;
+	settings = set_read(path, errors);
+	status = settings != NULL ? CMD_OK : CMD_FAULTS;
+	if (settings == NULL || check)
+		goto out;
+	log_open(settings->id);
+	block_signals();
+	status = run(settings, errors);
+out:
+	if (errors->len > 0)
+		fprintf(stderr, "apricotshift: %s", errors->str);
+	g_string_free(errors, TRUE);
+	set_destroy(settings);
+	g_free(path);
+	return status;
+}
--- a/decide/member.c
+++ b/decide/member.c
@@ -17,7 +17,8 @@
 	MEM_GRACE_MS = 3000,  /* new turns are taken this long while handing */
 	MEM_HINT_MS = 30000,  /* life of a hint that an instance leaves */
 	MEM_KEY_MAX = 128,
-	MEM_POLL_GAP_MS = 50,	      /* least time between two polls */
+	MEM_ALONE_MS = 3000,  /* time for a successor to show, while leaving */
+	MEM_POLL_GAP_MS = 50, /* least time between two polls */
 	MEM_GAP_MS = 3 * MEM_POLL_MS, /* a longer gap restarts every watch */
 };
 
@@ -464,6 +465,18 @@
 		pol_row_free(&row);
 }
 
+/* The last instance to leave has nobody to pass its shards on to. */
+static void give_up(struct shard *shard)
+{
+	struct member *member = shard->member;
+	struct node *node = member->node;
+
+	if (!node->draining || shard->hold == HOLD_NONE || !shard_idle(shard) ||
+	    nod_now(node) - node->drain_ms < MEM_ALONE_MS)
+		return;
+	shard_stop(shard);
+}
+
 static void plan_shard(struct shard *shard, int *moves)
 {
 	struct member *member = shard->member;
@@ -478,8 +491,10 @@
 	if (shard->hold == HOLD_LOADING || shard->hold == HOLD_PASSING)
 		return;
 	to = target(member, shard->index);
-	if (to == NULL)
+	if (to == NULL) {
+		give_up(shard);
 		return;
+	}
 	mine = strcmp(to, member->node->id) == 0;
 	if (shard->hold == HOLD_NONE) {
 		if (mine && takeable(member, shard))
--- a/decide/node.c
+++ b/decide/node.c
@@ -14,8 +14,9 @@
 #include "server.h"
 
 enum {
-	NOD_VERSION = 1,	 /* of the messages between peers */
-	NOD_FRAME_MAX = 8 << 20, /* longest frame, in bytes */
+	NOD_VERSION = 1,	    /* of the messages between peers */
+	NOD_FRAME_MAX = 8 << 20,    /* longest frame, in bytes */
+	NOD_DRAIN_ALONE_MS = 10000, /* least time to wait for the table */
 	NOD_LOG_MAX = 256,
 	NOD_LOCAL_ROUNDS_MAX = 64, /* rounds of local delivery in one tick */
 };
@@ -403,12 +404,20 @@
 	cmt_tick(node->commit);
 }
 
+static bool idle(const struct node *node)
+{
+	return mem_held(node->member) == 0 && ent_calls(node->entry) == 0 &&
+	       pol_runs(node->pools) == 0;
+}
+
 void nod_tick(struct node *node)
 {
 	if (node->fenced)
 		start_again(node);
 	if (node->draining)
-		cmt_set_state(node->commit, APS__INSTANCE_STATE__LEAVING);
+		cmt_set_state(node->commit,
+			      idle(node) ? APS__INSTANCE_STATE__DEAD
+					 : APS__INSTANCE_STATE__LEAVING);
 	mem_tick(node->member);
 	cfg_tick(node->config);
 	ent_tick(node->entry);
@@ -507,14 +516,22 @@
 
 void nod_drain(struct node *node)
 {
+	if (node->draining)
+		return;
 	node->draining = true;
+	node->drain_ms = nod_now(node);
 }
 
 bool nod_drained(const struct node *node)
 {
-	return node->draining && mem_held(node->member) == 0 &&
-	       ent_calls(node->entry) == 0 && pol_runs(node->pools) == 0 &&
-	       cmt_idle(node->commit);
+	if (!node->draining)
+		return false;
+	/* Without a lease nothing is left to hand over. */
+	if (nod_now(node) - node->drain_ms > NOD_DRAIN_ALONE_MS &&
+	    !cmt_lease_ok(node->commit))
+		return ent_calls(node->entry) == 0 &&
+		       pol_runs(node->pools) == 0;
+	return idle(node) && cmt_idle(node->commit);
 }
 
 bool nod_ready(const struct node *node)
--- a/decide/node_int.h
+++ b/decide/node_int.h
@@ -50,6 +50,7 @@
 	struct chart *turn_chart;
 	struct chart *server_chart;
 	bool draining;
+	int64_t drain_ms; /* when the shutdown began */
 	bool fenced;
 	struct rules *rules;
 	struct commit *commit;
--- /dev/null
+++ b/serve/http_parse.c
@@ -0,0 +1,321 @@
+/** @file http_parse.c @brief Turns a caller's request into a message. */
+#include <ctype.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <json-c/json.h>
+#include <sodium.h>
+
+#include "http_parse.h"
+
+enum {
+	HTP_KEY_MAX = 256, /* longest key and idempotency key, in bytes */
+	HTP_TURN_MAX = 1000000,
+	HTP_TIMEOUT_MAX_MS = 3600000,
+	HTP_DEPTH_MAX = 32, /* of JSON */
+};
+
+#define HTP_BUDGET_MAX UINT64_C(1000000000000)
+
+/* A call being parsed, and how it is refused. */
+struct parse {
+	const struct htp_input *input;
+	const struct rules *rules;
+	struct htp_call *call;
+	uint32_t status;
+	const char *reason;
+};
+
+static bool refuse(struct parse *p, uint32_t status, const char *reason)
+{
+	p->status = status;
+	p->reason = reason;
+	return false;
+}
+
+static bool name_ok(const char *name)
+{
+	size_t len = strlen(name);
+
+	if (len == 0 || len > RUL_NAME_MAX)
+		return false;
+	for (; *name != '\0'; name++) {
+		if (!isalnum((unsigned char)*name) &&
+		    strchr("-_.", *name) == NULL)
+			return false;
+	}
+	return true;
+}
+
+static bool number(const char *text, uint64_t max, uint64_t *value)
+{
+	char *end;
+
+	if (!isdigit((unsigned char)text[0]))
+		return false;
+	errno = 0;
+	*value = strtoull(text, &end, 10);
+	return errno == 0 && *end == '\0' && *value <= max;
+}
+
+static bool parse_key(struct parse *p)
+{
+	static const char scheme[] = "Bearer ";
+	struct htp_call *call = p->call;
+	const struct rul_target *target;
+	const struct rul_key *key;
+	const char *text = p->input->authorization;
+
+	target = call->target != NULL ? rul_target(p->rules, call->target)
+				      : NULL;
+	if (text == NULL) {
+		if (target == NULL || !target->open)
+			return refuse(p, 401, "no key");
+		call->account = g_strdup(RUL_OPEN_ACCOUNT);
+		return true;
+	}
+	if (g_ascii_strncasecmp(text, scheme, strlen(scheme)) != 0 ||
+	    strlen(text) > HTP_KEY_MAX)
+		return refuse(p, 401, "not a bearer key");
+	text += strlen(scheme);
+	crypto_hash_sha256(call->key_hash, (const unsigned char *)text,
+			   strlen(text));
+	key = rul_key(p->rules, call->key_hash);
+	if (key == NULL)
+		return refuse(p, 401, "key is not valid");
+	call->account = g_strdup(key->account);
+	call->request.key_hash.data = call->key_hash;
+	call->request.key_hash.len = sizeof(call->key_hash);
+	return true;
+}
+
+static bool take_messages(struct parse *p, json_object *messages)
+{
+	GByteArray *body = p->call->body;
+	size_t n = json_object_array_length(messages);
+
+	if (n == 0)
+		return refuse(p, 400, "messages: empty");
+	for (size_t i = 0; i < n; i++) {
+		json_object *message = json_object_array_get_idx(messages, i);
+		const char *text;
+
+		if (!json_object_is_type(message, json_type_object))
+			return refuse(p, 400, "messages: not objects");
+		text = json_object_to_json_string_ext(message,
+						      JSON_C_TO_STRING_PLAIN);
+		if (i > 0)
+			g_byte_array_append(body, (const uint8_t *)",", 1);
+		g_byte_array_append(body, (const uint8_t *)text,
+				    (guint)strlen(text));
+	}
+	return true;
+}
+
+static bool take_max_out(struct parse *p, json_object *root)
+{
+	json_object *value = NULL;
+	int64_t max_out = HTP_MAX_OUT;
+
+	if (json_object_object_get_ex(root, "max_tokens", &value)) {
+		max_out = json_object_get_int64(value);
+		if (!json_object_is_type(value, json_type_int) || max_out < 1 ||
+		    max_out > HTP_MAX_OUT_LIMIT)
+			return refuse(p, 400, "max_tokens: out of bounds");
+	}
+	p->call->request.max_out = (uint32_t)max_out;
+	return true;
+}
+
+static bool take_chat(struct parse *p, json_object *root)
+{
+	json_object *value = NULL;
+
+	if (!json_object_is_type(root, json_type_object))
+		return refuse(p, 400, "body: not a JSON object");
+	if (!json_object_object_get_ex(root, "model", &value) ||
+	    !json_object_is_type(value, json_type_string))
+		return refuse(p, 400, "model: missing");
+	p->call->target = g_strdup(json_object_get_string(value));
+	if (json_object_object_get_ex(root, "stream", &value))
+		p->call->stream = json_object_get_boolean(value);
+	if (!json_object_object_get_ex(root, "messages", &value) ||
+	    !json_object_is_type(value, json_type_array))
+		return refuse(p, 400, "messages: missing");
+	return take_max_out(p, root) && take_messages(p, value);
+}
+
+static bool parse_chat(struct parse *p)
+{
+	struct json_tokener *tok = json_tokener_new_ex(HTP_DEPTH_MAX);
+	json_object *root;
+	bool ok;
+
+	root = json_tokener_parse_ex(tok, p->input->body,
+				     (int)p->input->body_len);
+	if (root == NULL)
+		ok = refuse(p, 400, "body: not JSON");
+	else
+		ok = take_chat(p, root);
+	json_object_put(root);
+	json_tokener_free(tok);
+	p->call->request.kind = APS__CALL_KIND__MODEL;
+	return ok;
+}
+
+static bool parse_body(struct parse *p)
+{
+	struct htp_call *call = p->call;
+
+	if (p->input->end) {
+		call->request.kind = APS__CALL_KIND__END;
+		return true;
+	}
+	if (p->input->service == NULL)
+		return parse_chat(p);
+	call->request.kind = APS__CALL_KIND__SERVICE;
+	call->target = g_strdup(p->input->service);
+	g_byte_array_append(call->body, (const uint8_t *)p->input->body,
+			    (guint)p->input->body_len);
+	return true;
+}
+
+static bool check_target(struct parse *p)
+{
+	struct htp_call *call = p->call;
+	const struct rul_target *target;
+
+	if (p->input->end)
+		return true;
+	target = rul_target(p->rules, call->target);
+	if (target == NULL || target->is_model != (p->input->service == NULL))
+		return refuse(p, 404, "unknown model or service");
+	call->request.repeatable = target->repeatable;
+	return true;
+}
+
+static bool parse_turn(struct parse *p)
+{
+	uint64_t turn = 0;
+
+	if (p->input->end)
+		return true;
+	if (p->input->turn == NULL)
+		return refuse(p, 400, "X-Turn: missing");
+	if (!number(p->input->turn, HTP_TURN_MAX, &turn))
+		return refuse(p, 400, "X-Turn: not a turn number");
+	p->call->request.turn = (uint32_t)turn;
+	return true;
+}
+
+/* Names are made unique across accounts by the account in front. */
+static bool parse_program(struct parse *p, const char *unique)
+{
+	struct htp_call *call = p->call;
+	const struct htp_input *in = p->input;
+	uint8_t hash[RUL_HASH_BYTES];
+	char hex[2 * sizeof(hash) + 1];
+
+	if (in->program != NULL) {
+		if (!name_ok(in->program))
+			return refuse(p, 400, "X-Program: not a name");
+		call->program =
+			g_strdup_printf("%s/%s", call->account, in->program);
+		return parse_turn(p);
+	}
+	if (in->idempotency_key != NULL) {
+		if (in->idempotency_key[0] == '\0' ||
+		    strlen(in->idempotency_key) > HTP_KEY_MAX)
+			return refuse(p, 400, "Idempotency-Key: bad length");
+		crypto_hash_sha256(hash,
+				   (const unsigned char *)in->idempotency_key,
+				   strlen(in->idempotency_key));
+		sodium_bin2hex(hex, sizeof(hex), hash, sizeof(hash));
+		call->program =
+			g_strdup_printf("%s/key:%.32s", call->account, hex);
+		return true;
+	}
+	call->program = g_strdup_printf("%s/once:%s", call->account, unique);
+	call->request.transient = true;
+	return true;
+}
+
+static bool parse_limits(struct parse *p)
+{
+	const struct htp_input *in = p->input;
+	uint64_t value = 0;
+
+	if (in->budget != NULL &&
+	    (!number(in->budget, HTP_BUDGET_MAX, &value) || value == 0))
+		return refuse(p, 400, "X-Budget: not a number of tokens");
+	p->call->request.budget = value;
+	value = HTP_DEADLINE_MS;
+	if (in->timeout_ms != NULL &&
+	    (!number(in->timeout_ms, HTP_TIMEOUT_MAX_MS, &value) || value == 0))
+		return refuse(p, 400, "X-Timeout-Ms: not a time");
+	p->call->deadline_ms = (uint32_t)value;
+	if (in->parent == NULL)
+		return true;
+	if (!name_ok(in->parent))
+		return refuse(p, 400, "X-Parent: not a name");
+	p->call->parent =
+		g_strdup_printf("%s/%s", p->call->account, in->parent);
+	return true;
+}
+
+static void set_request(struct htp_call *call)
+{
+	Aps__Request *request = &call->request;
+	crypto_hash_sha256_state state;
+
+	request->account = call->account;
+	request->program = call->program;
+	if (call->target != NULL)
+		request->target = call->target;
+	if (call->parent != NULL)
+		request->parent = call->parent;
+	request->body.data = call->body->data;
+	request->body.len = call->body->len;
+	crypto_hash_sha256_init(&state);
+	crypto_hash_sha256_update(&state, (const uint8_t *)request->target,
+				  strlen(request->target));
+	crypto_hash_sha256_update(&state, request->body.data,
+				  request->body.len);
+	crypto_hash_sha256_final(&state, call->body_hash);
+	request->body_hash.data = call->body_hash;
+	request->body_hash.len = sizeof(call->body_hash);
+}
+
+struct htp_call *htp_parse(const struct htp_input *input,
+			   const struct rules *rules, const char *unique,
+			   uint32_t *status, const char **reason)
+{
+	struct htp_call *call = g_new0(struct htp_call, 1);
+	struct parse p = {.input = input, .rules = rules, .call = call};
+
+	aps__request__init(&call->request);
+	call->body = g_byte_array_new();
+	if (parse_body(&p) && parse_key(&p) && check_target(&p) &&
+	    parse_program(&p, unique) && parse_limits(&p)) {
+		set_request(call);
+		return call;
+	}
+	*status = p.status;
+	*reason = p.reason;
+	htp_destroy(call);
+	return NULL;
+}
+
+void htp_destroy(struct htp_call *call)
+{
+	if (call == NULL)
+		return;
+	g_byte_array_unref(call->body);
+	g_free(call->account);
+	g_free(call->program);
+	g_free(call->parent);
+	g_free(call->target);
+	g_free(call);
+}
--- /dev/null
+++ b/serve/outbound.c
@@ -0,0 +1,471 @@
+/** @file outbound.c @brief HTTP requests of this instance. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <json-c/json.h>
+
+#include "outbound.h"
+#include "sse.h"
+
+enum {
+	OUT_TABLE_TIMEOUT_MS = 1000,
+	OUT_RELEASE_TIMEOUT_MS = 2000,
+	OUT_CONNECT_TIMEOUT_MS = 1000,
+	OUT_ANSWER_MAX = 4 << 20,
+	OUT_HEADER_MAX = 256,
+};
+
+enum kind {
+	KIND_MODEL,
+	KIND_SERVICE,
+	KIND_RELEASE,
+	KIND_TABLE,
+	KIND_OBJECT,
+};
+
+/* One request under way. */
+struct request {
+	struct outbound *out;
+	enum kind kind;
+	uint64_t id; /* run id or cookie */
+	CURL *easy;
+	struct curl_slist *headers;
+	GByteArray *body;
+	GByteArray *answer;
+	GByteArray *pending; /* text that came and was not told yet */
+	struct sse sse;
+	char *answer_id;      /* X-Request-Id of the answer */
+	uint64_t incarnation; /* X-Incarnation of the answer */
+	bool said_not_run;    /* X-Executed: no */
+	bool cancelled;
+	bool is_get;
+};
+
+struct outbound {
+	CURLM *multi;
+	char *platform;
+	struct out_events events;
+	GHashTable *requests; /* set of struct request */
+};
+
+static void request_free(void *p)
+{
+	struct request *request = p;
+
+	curl_multi_remove_handle(request->out->multi, request->easy);
+	curl_easy_cleanup(request->easy);
+	curl_slist_free_all(request->headers);
+	g_byte_array_unref(request->body);
+	g_byte_array_unref(request->answer);
+	g_byte_array_unref(request->pending);
+	sse_clear(&request->sse);
+	g_free(request->answer_id);
+	g_free(request);
+}
+
+struct outbound *out_create(const char *platform,
+			    const struct out_events *events)
+{
+	struct outbound *out = g_new0(struct outbound, 1);
+
+	out->multi = curl_multi_init();
+	out->platform = g_strdup(platform);
+	out->events = *events;
+	out->requests = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+					      request_free, NULL);
+	return out;
+}
+
+void out_destroy(struct outbound *out)
+{
+	if (out == NULL)
+		return;
+	g_hash_table_unref(out->requests);
+	curl_multi_cleanup(out->multi);
+	g_free(out->platform);
+	g_free(out);
+}
+
+CURLM *out_multi(struct outbound *out)
+{
+	return out->multi;
+}
+
+static void on_text(void *arg, const char *text, size_t len)
+{
+	struct request *request = arg;
+
+	/* Told after curl returns: its callbacks may not start requests. */
+	g_byte_array_append(request->pending, (const uint8_t *)text,
+			    (guint)len);
+}
+
+static void tell_pending(struct request *request)
+{
+	const struct out_events *events = &request->out->events;
+
+	if (request->pending->len == 0)
+		return;
+	if (!request->cancelled)
+		events->run_chunk(events->arg, request->id,
+				  request->pending->data,
+				  request->pending->len);
+	g_byte_array_set_size(request->pending, 0);
+}
+
+static size_t on_write(char *buf, size_t size, size_t n, void *arg)
+{
+	struct request *request = arg;
+	size_t len = size * n;
+	long status = 0;
+
+	curl_easy_getinfo(request->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (request->kind == KIND_MODEL && status == 200) {
+		sse_feed(&request->sse, buf, len, on_text, request);
+		return len;
+	}
+	if (request->answer->len + len > OUT_ANSWER_MAX)
+		return 0;
+	g_byte_array_append(request->answer, (const uint8_t *)buf, (guint)len);
+	return len;
+}
+
+static const char *header_value(const char *line, const char *name)
+{
+	size_t len = strlen(name);
+
+	if (g_ascii_strncasecmp(line, name, len) != 0 || line[len] != ':')
+		return NULL;
+	line += len + 1;
+	return line + strspn(line, " ");
+}
+
+static size_t on_header(char *buf, size_t size, size_t n, void *arg)
+{
+	struct request *request = arg;
+	char *line = g_strndup(buf, size * n);
+	const char *value;
+
+	g_strchomp(line);
+	value = header_value(line, "X-Incarnation");
+	if (value != NULL)
+		request->incarnation = strtoull(value, NULL, 10);
+	value = header_value(line, "X-Executed");
+	if (value != NULL)
+		request->said_not_run = strcmp(value, "no") == 0;
+	value = header_value(line, "X-Request-Id");
+	if (value != NULL) {
+		g_free(request->answer_id);
+		request->answer_id = g_strdup(value);
+	}
+	g_free(line);
+	return size * n;
+}
+
+static struct request *request_create(struct outbound *out, enum kind kind,
+				      uint64_t id, const char *url)
+{
+	struct request *request = g_new0(struct request, 1);
+
+	request->out = out;
+	request->kind = kind;
+	request->id = id;
+	request->body = g_byte_array_new();
+	request->answer = g_byte_array_new();
+	request->pending = g_byte_array_new();
+	sse_init(&request->sse);
+	request->easy = curl_easy_init();
+	curl_easy_setopt(request->easy, CURLOPT_URL, url);
+	curl_easy_setopt(request->easy, CURLOPT_PRIVATE, request);
+	curl_easy_setopt(request->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(request->easy, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(request->easy, CURLOPT_WRITEFUNCTION, on_write);
+	curl_easy_setopt(request->easy, CURLOPT_WRITEDATA, request);
+	curl_easy_setopt(request->easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(request->easy, CURLOPT_HEADERDATA, request);
+	curl_easy_setopt(request->easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)OUT_CONNECT_TIMEOUT_MS);
+	g_hash_table_add(out->requests, request);
+	return request;
+}
+
+G_GNUC_PRINTF(2, 3)
+static void add_header(struct request *request, const char *fmt, ...)
+{
+	char line[OUT_HEADER_MAX];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(line, sizeof(line), fmt, ap);
+	va_end(ap);
+	request->headers = curl_slist_append(request->headers, line);
+}
+
+static void start(struct request *request, const char *method, long timeout_ms)
+{
+	CURL *easy = request->easy;
+
+	add_header(request, "Expect:");
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, request->headers);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+	if (request->body->len > 0 || strcmp(method, "POST") == 0) {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
+				 (long)request->body->len);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS,
+				 request->body->len > 0
+					 ? (const char *)request->body->data
+					 : "");
+	}
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
+	curl_multi_add_handle(request->out->multi, easy);
+}
+
+/* The prompt holds the inside of the JSON array of messages. */
+static void model_body(struct request *request, const struct nod_run *run)
+{
+	GString *body = g_string_new("{\"stream\":true,\"model\":");
+	json_object *text = json_object_new_string(run->target);
+
+	g_string_append(body, json_object_to_json_string(text));
+	json_object_put(text);
+	g_string_append_printf(body, ",\"max_tokens\":%u", run->max_out);
+	if (run->resume.len > 0) {
+		text = json_object_new_string_len(
+			(const char *)run->resume.data, (int)run->resume.len);
+		g_string_append_printf(body, ",\"resume\":%s",
+				       json_object_to_json_string(text));
+		json_object_put(text);
+	}
+	g_string_append(body, ",\"messages\":[");
+	g_string_append_len(body, (const char *)run->prompt.data,
+			    (gssize)run->prompt.len);
+	g_string_append(body, "]}");
+	g_byte_array_append(request->body, (const uint8_t *)body->str,
+			    (guint)body->len);
+	g_string_free(body, TRUE);
+}
+
+void out_run(struct outbound *out, const struct nod_run *run)
+{
+	struct request *request;
+	char *url = run->is_model
+			    ? g_strdup_printf("http://%s/v1/chat/completions",
+					      run->addr)
+			    : g_strdup_printf("http://%s/%s", run->addr,
+					      run->target);
+
+	request = request_create(out, run->is_model ? KIND_MODEL : KIND_SERVICE,
+				 run->run_id, url);
+	g_free(url);
+	if (run->is_model)
+		model_body(request, run);
+	else
+		g_byte_array_append(request->body, run->prompt.data,
+				    (guint)run->prompt.len);
+	/*
+	 * libcurl sends a request again when a kept connection proves dead;
+	 * a fresh one rules a hidden second run out.
+	 */
+	curl_easy_setopt(request->easy, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(request->easy, CURLOPT_FORBID_REUSE, 1L);
+	add_header(request, "Content-Type: application/json");
+	add_header(request, "X-Request-Id: %" PRIu64, run->run_id);
+	add_header(request, "X-Fencing-Token: %" PRIu64, run->fence);
+	add_header(request, "X-Program: %s", run->program);
+	start(request, "POST", (long)run->deadline_ms);
+}
+
+void out_cancel(struct outbound *out, uint64_t run_id)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, out->requests);
+	while (g_hash_table_iter_next(&iter, &value, NULL)) {
+		struct request *request = value;
+
+		if (request->id == run_id && request->kind <= KIND_SERVICE)
+			request->cancelled = true;
+	}
+}
+
+void out_release(struct outbound *out, uint64_t cookie, const char *addr,
+		 const char *program, uint64_t fence)
+{
+	char *escaped = g_uri_escape_string(program, NULL, FALSE);
+	char *url = g_strdup_printf("http://%s/v1/programs/%s", addr, escaped);
+	struct request *request =
+		request_create(out, KIND_RELEASE, cookie, url);
+
+	g_free(url);
+	g_free(escaped);
+	add_header(request, "X-Fencing-Token: %" PRIu64, fence);
+	start(request, "DELETE", OUT_RELEASE_TIMEOUT_MS);
+}
+
+void out_table(struct outbound *out, uint64_t cookie,
+	       const Aps__TableRequest *msg)
+{
+	char *url = g_strdup_printf("%s/table", out->platform);
+	struct request *request = request_create(out, KIND_TABLE, cookie, url);
+
+	g_free(url);
+	g_byte_array_set_size(request->body,
+			      (guint)aps__table_request__get_packed_size(msg));
+	aps__table_request__pack(msg, request->body->data);
+	add_header(request, "Content-Type: application/x-protobuf");
+	start(request, "POST", OUT_TABLE_TIMEOUT_MS);
+}
+
+void out_object(struct outbound *out, uint64_t cookie, const char *key,
+		const uint8_t *buf, size_t len)
+{
+	char *escaped = g_uri_escape_string(key, NULL, FALSE);
+	char *url = g_strdup_printf("%s/objects/%s", out->platform, escaped);
+	struct request *request = request_create(out, KIND_OBJECT, cookie, url);
+
+	g_free(url);
+	g_free(escaped);
+	request->is_get = buf == NULL;
+	if (buf != NULL)
+		g_byte_array_append(request->body, buf, (guint)len);
+	start(request, buf != NULL ? "PUT" : "GET", OUT_TABLE_TIMEOUT_MS);
+}
+
+static bool crossed(const struct request *request)
+{
+	char id[32];
+
+	snprintf(id, sizeof(id), "%" PRIu64, request->id);
+	if (request->answer_id != NULL && strcmp(request->answer_id, id) != 0)
+		return true;
+	return request->kind == KIND_MODEL && request->sse.id != NULL &&
+	       strcmp(request->sse.id, id) != 0;
+}
+
+static enum nod_run_end run_end(const struct request *request, CURLcode code,
+				long status)
+{
+	if (request->cancelled || code == CURLE_OPERATION_TIMEDOUT)
+		return NOD_RUN_CANCELLED;
+	if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST)
+		return NOD_RUN_UNSENT;
+	if (code != CURLE_OK)
+		return NOD_RUN_BROKEN;
+	if (request->said_not_run && status != 200)
+		return NOD_RUN_REFUSED;
+	if (status != 200)
+		return NOD_RUN_FAILED;
+	if (crossed(request))
+		return NOD_RUN_CROSSED;
+	if (request->kind == KIND_MODEL &&
+	    (!request->sse.done || request->sse.malformed))
+		return NOD_RUN_BROKEN;
+	return NOD_RUN_WHOLE;
+}
+
+static void run_done(struct request *request, CURLcode code, long status)
+{
+	const struct out_events *events = &request->out->events;
+	struct nod_run_result result = {
+		.end = run_end(request, code, status),
+		.status = (uint32_t)status,
+		.incarnation = request->incarnation,
+		.prompt_tokens = request->sse.prompt_tokens,
+		.cached_tokens = request->sse.cached_tokens,
+		.out_tokens = request->sse.out_tokens,
+	};
+
+	if (request->kind == KIND_SERVICE && result.end == NOD_RUN_WHOLE &&
+	    request->answer->len > 0)
+		events->run_chunk(events->arg, request->id,
+				  request->answer->data, request->answer->len);
+	events->run_done(events->arg, request->id, &result);
+}
+
+static void table_done(struct request *request, bool ok)
+{
+	const struct out_events *events = &request->out->events;
+	Aps__TableReply *reply = NULL;
+
+	if (ok)
+		reply = aps__table_reply__unpack(NULL, request->answer->len,
+						 request->answer->data);
+	events->table_done(events->arg, request->id, reply);
+	if (reply != NULL)
+		aps__table_reply__free_unpacked(reply, NULL);
+}
+
+static void tell(struct request *request, CURLcode code)
+{
+	const struct out_events *events = &request->out->events;
+	long status = 0;
+	bool ok;
+
+	curl_easy_getinfo(request->easy, CURLINFO_RESPONSE_CODE, &status);
+	ok = code == CURLE_OK && status >= 200 && status < 300;
+	switch (request->kind) {
+	case KIND_MODEL:
+	case KIND_SERVICE:
+		run_done(request, code, status);
+		break;
+	case KIND_RELEASE:
+		events->release_done(events->arg, request->id, ok,
+				     request->incarnation);
+		break;
+	case KIND_TABLE:
+		table_done(request, ok);
+		break;
+	case KIND_OBJECT:
+		events->object_done(
+			events->arg, request->id, ok,
+			ok && request->is_get ? request->answer->data : NULL,
+			request->answer->len);
+		break;
+	}
+}
+
+static void end(struct request *request, CURLcode code)
+{
+	g_hash_table_steal(request->out->requests, request);
+	tell_pending(request);
+	tell(request, code);
+	request_free(request);
+}
+
+/* Tells of new text, and ends what was cancelled. */
+static void visit(struct outbound *out)
+{
+	GList *list = g_hash_table_get_keys(out->requests);
+
+	for (GList *l = list; l != NULL; l = l->next) {
+		struct request *request = l->data;
+
+		tell_pending(request);
+		if (request->cancelled)
+			end(request, CURLE_ABORTED_BY_CALLBACK);
+	}
+	g_list_free(list);
+}
+
+void out_handle(struct outbound *out)
+{
+	CURLMsg *msg;
+	int left = 0;
+
+	curl_multi_perform(out->multi, &left);
+	while ((msg = curl_multi_info_read(out->multi, &left)) != NULL) {
+		struct request *request = NULL;
+		CURLcode code = msg->data.result;
+
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE,
+				  (char **)&request);
+		end(request, code);
+	}
+	visit(out);
+}
--- /dev/null
+++ b/serve/peer.h
@@ -0,0 +1,62 @@
+/**
+ * @file peer.h
+ * @brief Connections between instances: length-prefixed frames over TCP.
+ *
+ * A frame is four bytes of length, most significant first, and a packed
+ * Aps__Peer. Frames may be lost when a connection breaks; none is sent twice
+ * and none overtakes another.
+ */
+#ifndef APS_PEER_H
+#define APS_PEER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+#include <poll.h>
+
+enum {
+	/** Longest frame, in bytes. */
+	PEER_FRAME_MAX = 8 << 20,
+	/** Most bytes that wait for one peer. */
+	PEER_QUEUE_MAX = 32 << 20,
+	/** Length of the prefix, in bytes. */
+	PEER_PREFIX = 4,
+};
+
+struct peers;
+
+/** Receives a frame. */
+typedef void (*peer_fn)(void *arg, const uint8_t *buf, size_t len);
+
+/**
+ * Listens at @p addr (HOST:PORT).
+ *
+ * @param errors receives what failed, with the address
+ * @return NULL on failure
+ */
+struct peers *peer_create(const char *addr, peer_fn fn, void *arg,
+			  GString *errors);
+
+/** Closes all connections; NULL is allowed. */
+void peer_destroy(struct peers *peers);
+
+/** Queues a frame for the peer at @p addr. */
+void peer_send(struct peers *peers, const char *addr, const uint8_t *buf,
+	       size_t len);
+
+/** Returns the descriptors to poll; g_array_unref() it. */
+GArray *peer_fds(struct peers *peers);
+
+/** Reads and writes what can be. @p fds come from peer_fds() and poll(2). */
+void peer_handle(struct peers *peers, const struct pollfd *fds, guint n);
+
+/**
+ * Cuts frames out of @p in and passes them to @p fn.
+ *
+ * @return whether the stream is sound; if not, the connection must be closed
+ */
+bool peer_cut(GByteArray *in, peer_fn fn, void *arg);
+
+#endif
--- /dev/null
+++ b/test/processes.sh
@@ -0,0 +1,90 @@
+#!/bin/bash
+# The whole path with real processes: a program survives the death of an
+# instance, the freezing of another and a graceful replacement of the third.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+tmp=$(mktemp -d)
+declare -A pid
+cleanup() {
+	for p in "${pid[@]}"; do kill -CONT "$p" 2>/dev/null || true; done
+	for p in "${pid[@]}"; do kill -KILL "$p" 2>/dev/null || true; done
+	wait 2>/dev/null || true
+	rm -rf "$tmp"
+}
+trap cleanup EXIT
+start() {
+	name=$1
+	shift
+	"$@" >>"$tmp/$name" 2>&1 &
+	pid[$name]=$!
+}
+fail() { echo "processes: $*"; tail -n 5 "$tmp"/*; exit 1; }
+ready() {
+	for _ in $(seq 300); do
+		build/apricotshift status "http://127.0.0.1:710$1" 2>/dev/null |
+			grep -q '"ready":true' && return
+		sleep 0.1
+	done
+	fail "instance $1 is not ready"
+}
+expect() {
+	grep -q -- "$2" "$1" || fail "no '$2' in $(cat "$1")"
+}
+
+start table build/standin table 127.0.0.1:7100
+start k1 build/standin engine 127.0.0.1:7201 k1
+start k2 build/standin engine 127.0.0.1:7202 k2
+start d1 build/standin service 127.0.0.1:7301 d1
+sleep 0.5
+build/apricotshift apply -p http://127.0.0.1:7100 -r 0 -w test \
+	examples/rules.txt >"$tmp/apply"
+expect "$tmp/apply" "revision 1"
+
+# A race of operators: the loser is told who won, and nothing is lost.
+if build/apricotshift apply -p http://127.0.0.1:7100 -r 0 -w late \
+	examples/rules.txt 2>"$tmp/race"; then fail "a stale apply passed"; fi
+expect "$tmp/race" "test has applied revision 1"
+
+for n in 1 2 3; do
+	start "n$n" build/apricotshift serve -c "examples/n$n.json"
+done
+for n in 1 2 3; do ready "$n"; done
+urls="http://127.0.0.1:7101 http://127.0.0.1:7102 http://127.0.0.1:7103"
+
+# shellcheck disable=SC2086
+build/standin program demo-key calm 4 $urls >"$tmp/calm" || fail "calm"
+# shellcheck disable=SC2086
+build/standin program demo-key storm 12 $urls >"$tmp/storm" &
+storm=$!
+sleep 1
+kill -KILL "${pid[n1]}"
+sleep 1
+kill -STOP "${pid[n2]}"
+sleep 6
+kill -CONT "${pid[n2]}"
+start n1 build/apricotshift serve -c examples/n1.json
+wait "$storm" || fail "a program did not survive"
+ready 1
+ready 2
+
+# A graceful stop cuts nothing off and ends with status 0.
+# shellcheck disable=SC2086
+build/standin program demo-key drain 8 http://127.0.0.1:7103 $urls \
+	>"$tmp/drain" &
+drain=$!
+sleep 1
+kill -TERM "${pid[n3]}"
+wait "${pid[n3]}" || fail "n3 did not stop gracefully"
+unset 'pid[n3]'
+wait "$drain" || fail "a program was cut off"
+
+# Bad input gets clear errors, and the process goes on.
+build/standin program wrong-key bad 3 http://127.0.0.1:7101 >"$tmp/bad" || true
+expect "$tmp/bad" '"executed":"no","step":"entry"'
+
+orders=$(grep -c ' start program=tumaini/' "$tmp/d1")
+[ "$orders" = 3 ] || fail "$orders orders ran, not 3"
+if grep -l demo-key "$tmp"/k? "$tmp"/d? "$tmp"/n?; then fail "a key leaked"; fi
+grep -c ' release program=tumaini/calm ok=1' "$tmp"/k? >/dev/null ||
+	fail "memory of an ended program was not released"
+echo "processes: 1 passed, 0 failed"
--- /dev/null
+++ b/test/run.sh
@@ -0,0 +1,60 @@
+#!/bin/bash
+# Every check and test, with fixed seeds; the same verdict every run.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+jobs=$(nproc)
+runs=${RUNS:-10000}
+
+step() { echo "--- $*"; }
+
+step "build"
+make -j"$jobs" all unit
+make -j"$jobs" SAN=1 all unit
+
+step "layering: decide/ is pure"
+if grep -rnE '#include [<"](\.\./)?(serve|platform)/|<pthread\.h>|clock_gettime|[^_a-z]rand\(' \
+	decide --include='*.[ch]'; then
+	echo "decide/ reaches outside"; exit 1
+fi
+
+step "format"
+git ls-files '*.c' '*.h' | grep -v 'pb-c' | xargs clang-format --dry-run -Werror
+
+step "lint"
+cppcheck --quiet --error-exitcode=1 --std=c11 -I. \
+	--enable=warning,performance,portability --inline-suppr \
+	--suppress=missingIncludeSystem --suppress=unknownMacro \
+	decide serve platform apricotshift test bench
+for page in man/*; do mandoc -T lint -W warning "$page"; done
+
+step "unit tests, with sanitizers"
+for t in build-san/unit/test_*; do "$t"; done
+
+step "scenarios, with sanitizers"
+build-san/scenario test/scenarios/*.scn
+
+step "random interleavings: $runs runs from seed 1, 200 with sanitizers"
+tmp=$(mktemp -d)
+trap 'rm -rf "$tmp"' EXIT
+share=$(((runs + jobs - 1) / jobs))
+for ((i = 0; i < jobs; i++)); do
+	build/scenario -n "$share" -s $((1 + i * share)) >"$tmp/$i" &
+	workers[i]=$!
+done
+build-san/scenario -n 200 -s 500000 >"$tmp/san" && san=0 || san=1
+failed=0
+for ((i = 0; i < jobs; i++)); do wait "${workers[i]}" || failed=1; done
+cat "$tmp"/*
+# What KNOWN-RED.txt lists is passed over, and nothing else.
+if [ "$san" != 0 ] || [ "$failed" != 0 ]; then
+	bad=$(cat "$tmp"/* | sed -n 's/^seed \([0-9]*\) failed.*/\1/p' |
+		while read -r s; do
+			grep -q "seed $s\b" KNOWN-RED.txt || echo "$s"
+		done)
+	[ -z "$bad" ] && grep -q '^random:' "$tmp/san" ||
+		{ echo "not in KNOWN-RED.txt: $bad"; exit 1; }
+fi
+
+step "real processes"
+timeout 300 test/processes.sh
+echo "all: 1 passed, 0 failed"
