Vouching and in-flight counts survive a new incarnation

A dispatcher killed after it had run one came back as a new incarnation, did not know the repeated dispatch, and vouched 'not run'. The owner now takes a verdict only from the incarnation it sent the request to; the entry likewise.

Ruled out: a handover message for ended runs (OrphanDone): it can be lost, and leaves a count that never falls; removed.

--- a/decide/entry.c
+++ b/decide/entry.c
@@ -17,6 +17,7 @@
 	int64_t deadline_ms;
 	int64_t send_due_ms;
 	uint64_t sent_epoch; /* of the owner at the last sending, 0 before */
+	uint64_t sent_incarnation;
 	bool sent;
 	bool owner_refused; /* the last owner vouches that it did not run */
 	GByteArray *streamed;
@@ -150,7 +151,8 @@
 		       call->streamed->len) == 0);
 }
 
-void ent_on_done(struct entry *entry, const Aps__CallDone *done)
+void ent_on_done(struct entry *entry, uint64_t incarnation,
+		 const Aps__CallDone *done)
 {
 	struct ecall *call = g_hash_table_lookup(entry->calls, &done->call_id);
 
@@ -158,7 +160,8 @@
 		return;
 	if (done->moved) {
 		call->send_due_ms = nod_now(entry->node) + ENT_MOVED_MS;
-		call->owner_refused = true;
+		/* A later incarnation cannot vouch for an earlier one. */
+		call->owner_refused = incarnation == call->sent_incarnation;
 		mem_poll_soon(entry->node->member);
 		return;
 	}
@@ -189,6 +192,8 @@
 	call->sent = true;
 	call->owner_refused = false;
 	call->sent_epoch = mem_epoch(node->member, call->shard);
+	call->sent_incarnation =
+		mem_holder_incarnation(node->member, call->shard);
 	call->send_due_ms = now + ENT_RESEND_MS;
 }
 
--- a/decide/entry.h
+++ b/decide/entry.h
@@ -22,8 +22,9 @@
 /** A part of an answer came from an owner. */
 void ent_on_chunk(struct entry *entry, const Aps__CallChunk *chunk);
 
-/** An owner ends a call, or no longer holds the program. */
-void ent_on_done(struct entry *entry, const Aps__CallDone *done);
+/** An owner, in @p incarnation, ends a call or does not hold the program. */
+void ent_on_done(struct entry *entry, uint64_t incarnation,
+		 const Aps__CallDone *done);
 
 /** Sends again, and ends what is past its deadline. */
 void ent_tick(struct entry *entry);
--- a/decide/node.c
+++ b/decide/node.c
@@ -52,6 +52,7 @@
 	nod_table_fn table;
 	nod_object_fn object;
 	nod_release_fn release;
+	nod_probe_fn probe;
 	void *arg;
 };
 
@@ -109,6 +110,13 @@
 			 fence);
 }
 
+void nod_probe(struct node *node, const char *addr, nod_probe_fn fn, void *arg)
+{
+	struct wait wait = {.probe = fn, .arg = arg};
+
+	node->io.probe(node->io.arg, add_wait(node, &wait), addr);
+}
+
 void nod_send(struct node *node, const char *to, Aps__Peer *msg)
 {
 	const char *addr;
@@ -324,7 +332,7 @@
 		ent_on_chunk(node->entry, peer->call_chunk);
 		break;
 	case APS__PEER__BODY_CALL_DONE:
-		ent_on_done(node->entry, peer->call_done);
+		ent_on_done(node->entry, peer->incarnation, peer->call_done);
 		break;
 	case APS__PEER__BODY_CALL_CANCEL:
 		own_on_cancel(node->owner, peer->from, peer->call_cancel);
@@ -337,7 +345,8 @@
 		own_on_chunk(node->owner, peer->dispatch_chunk);
 		break;
 	case APS__PEER__BODY_DISPATCH_DONE:
-		own_on_done(node->owner, peer->dispatch_done);
+		own_on_done(node->owner, peer->incarnation,
+			    peer->dispatch_done);
 		break;
 	case APS__PEER__BODY_DISPATCH_CANCEL:
 		pol_on_cancel(node->pools, peer->from, peer->incarnation,
@@ -355,9 +364,6 @@
 	case APS__PEER__BODY_BUDGET_MOVED:
 		own_on_budget_moved(node->owner, peer->budget_moved);
 		break;
-	case APS__PEER__BODY_ORPHAN_DONE:
-		pol_on_orphan_done(node->pools, peer->orphan_done);
-		break;
 	default:
 		break;
 	}
@@ -495,6 +501,17 @@
 	settle(node);
 }
 
+void nod_on_probe(struct node *node, uint64_t cookie,
+		  const struct nod_load *load)
+{
+	struct wait wait;
+
+	if (!take_wait(node, cookie, &wait) || wait.probe == NULL)
+		return;
+	wait.probe(wait.arg, load);
+	settle(node);
+}
+
 void nod_on_run_chunk(struct node *node, uint64_t run_id, const uint8_t *buf,
 		      size_t len)
 {
--- a/decide/node.h
+++ b/decide/node.h
@@ -56,6 +56,17 @@
 	uint64_t incarnation; /**< of the server, 0 if unknown */
 };
 
+/** What a server reports of itself; it may be late by NOD_LOAD_LAG_MS. */
+struct nod_load {
+	uint32_t inflight;
+	uint64_t incarnation;
+};
+
+enum {
+	/** Greatest age of a load report, in ms. */
+	NOD_LOAD_LAG_MS = 1000,
+};
+
 /** Outside effects. Calls must not re-enter the node. */
 struct nod_io {
 	/** Sends a frame to a peer; may be lost. */
@@ -76,6 +87,8 @@
 	/** Orders a server to release a program's memory. */
 	void (*release)(void *arg, uint64_t cookie, const char *addr,
 			const char *program, uint64_t fence);
+	/** Asks a server for its load; ends in nod_on_probe(). */
+	void (*probe)(void *arg, uint64_t cookie, const char *addr);
 	/** Passes a part of an answer to a caller. */
 	void (*chunk)(void *arg, uint64_t call_id, const uint8_t *buf,
 		      size_t len);
@@ -175,6 +188,10 @@
 void nod_on_release(struct node *node, uint64_t cookie, bool acknowledged,
 		    uint64_t incarnation);
 
+/** The end of a probe; @p load is NULL if it failed. */
+void nod_on_probe(struct node *node, uint64_t cookie,
+		  const struct nod_load *load);
+
 /** The platform's list names an instance as leaving: only a hint. */
 void nod_on_leaving_hint(struct node *node, const char *id);
 
--- a/decide/node_int.h
+++ b/decide/node_int.h
@@ -32,6 +32,9 @@
 typedef void (*nod_release_fn)(void *arg, bool acknowledged,
 			       uint64_t incarnation);
 
+/** Receives a load report, or NULL if the server gave none. */
+typedef void (*nod_probe_fn)(void *arg, const struct nod_load *load);
+
 /** A node and its modules. */
 struct node {
 	char *id;
@@ -101,6 +104,9 @@
 void nod_release(struct node *node, const char *addr, const char *program,
 		 uint64_t fence, nod_release_fn fn, void *arg);
 
+/** Asks a server for its load. */
+void nod_probe(struct node *node, const char *addr, nod_probe_fn fn, void *arg);
+
 /** Sends @p msg to instance @p to; sets its version and origin. */
 void nod_send(struct node *node, const char *to, Aps__Peer *msg);
 
--- a/decide/owner.c
+++ b/decide/owner.c
@@ -793,13 +793,16 @@
 		send_text(turn, turn->waiters->pdata[i]);
 }
 
-void own_on_done(struct owner *owner, const Aps__DispatchDone *msg)
+void own_on_done(struct owner *owner, uint64_t incarnation,
+		 const Aps__DispatchDone *msg)
 {
 	struct turn *turn =
 		g_hash_table_lookup(owner->dispatches, &msg->dispatch_id);
 	struct program *program;
 
-	if (turn == NULL || msg->outcome == NULL)
+	/* A later incarnation knows nothing of what an earlier one ran. */
+	if (turn == NULL || msg->outcome == NULL ||
+	    turn->dispatcher_incarnation != incarnation)
 		return;
 	program = turn->program;
 	if (!msg->stale) {
--- a/decide/owner.h
+++ b/decide/owner.h
@@ -32,8 +32,9 @@
 /** A part of an answer came from a dispatcher. */
 void own_on_chunk(struct owner *owner, const Aps__DispatchChunk *msg);
 
-/** A dispatcher reports the end of a request. */
-void own_on_done(struct owner *owner, const Aps__DispatchDone *msg);
+/** Incarnation @p incarnation of a dispatcher reports a request's end. */
+void own_on_done(struct owner *owner, uint64_t incarnation,
+		 const Aps__DispatchDone *msg);
 
 /** A child program's owner asks for a part of its parent's budget. */
 void own_on_budget_move(struct owner *owner, const char *from,
--- a/decide/place.c
+++ b/decide/place.c
@@ -38,12 +38,14 @@
 	for (guint i = 0; i < pool->servers->len; i++) {
 		const struct server *server = pool->servers->pdata[i];
 
+		uint32_t busy = server->inflight + server->foreign;
+
 		if (!srv_usable(server) || server->solo > 0)
 			continue;
 		if (pool->set->node->policy != POL_FAIR)
 			slots += server->max;
-		else if (server->limit > server->inflight)
-			slots += (uint32_t)server->limit - server->inflight;
+		else if (server->probed && server->limit > busy)
+			slots += (uint32_t)server->limit - busy;
 	}
 	/* A server in its backoff is tried with one. */
 	return MAX(slots, 1);
--- a/decide/pool.c
+++ b/decide/pool.c
@@ -9,6 +9,7 @@
 
 enum {
 	POL_DONE_KEPT_MS = 60000, /* how long a finished job is remembered */
+	POL_PROBE_MS = 250,	  /* between probes of a server */
 	POL_SWEEP_MS = 500,	  /* time between looks for what is over */
 	POL_TRIES_MAX = 4,	  /* tries of a job that no server ran */
 	POL_OUT_TOKENS_START = 64,
@@ -80,6 +81,14 @@
 	g_free(pools);
 }
 
+static void add_server(struct pool *pool, const struct rul_server *rule)
+{
+	struct server *server = srv_create(pool->set->node->server_chart, rule);
+
+	server->pool = pool;
+	g_ptr_array_add(pool->servers, server);
+}
+
 static void sync_servers(struct pool *pool)
 {
 	struct node *node = pool->set->node;
@@ -91,7 +100,7 @@
 			continue;
 		/* A removed server drains; it is dropped when it is idle. */
 		server->out = true;
-		if (server->inflight == 0)
+		if (server->inflight == 0 && !server->probing)
 			g_ptr_array_remove_index(pool->servers, i);
 	}
 	for (guint i = 0; i < node->rules->servers->len; i++) {
@@ -103,8 +112,7 @@
 		if (server != NULL)
 			srv_update(server, rule);
 		else
-			g_ptr_array_add(pool->servers,
-					srv_create(node->server_chart, rule));
+			add_server(pool, rule);
 	}
 }
 
@@ -159,7 +167,8 @@
 		if (server == NULL)
 			continue;
 		server->limit = state->limit;
-		server->inflight += state->inflight;
+		server->foreign = state->inflight;
+		server->probed = true;
 		server->incarnation = state->incarnation;
 	}
 }
@@ -183,7 +192,7 @@
 			state->server = server->name;
 			state->incarnation = server->incarnation;
 			state->limit = server->limit;
-			state->inflight = server->inflight;
+			state->inflight = server->inflight + server->foreign;
 			g_ptr_array_add(states, state);
 		}
 	}
@@ -351,16 +360,6 @@
 		fair_on_grant(pool->fair, grant);
 }
 
-void pol_on_orphan_done(struct pools *pools, const Aps__OrphanDone *msg)
-{
-	struct pool *pool = g_hash_table_lookup(pools->by_name, msg->pool);
-	struct server *server =
-		pool != NULL ? plc_server(pool, msg->server) : NULL;
-
-	if (server != NULL)
-		srv_ended(server, false);
-}
-
 static void mark_shared(struct pools *pools, const struct job *job)
 {
 	GHashTableIter iter;
@@ -435,6 +434,54 @@
 	return true;
 }
 
+/* Our runs that every report made now must contain. */
+static uint32_t old_runs(const struct server *server)
+{
+	const struct pools *pools = server->pool->set;
+	int64_t now = nod_now(pools->node);
+	GHashTableIter iter;
+	uint32_t count = 0;
+	void *value;
+
+	g_hash_table_iter_init(&iter, pools->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct job *job = value;
+
+		count += strcmp(job->server, server->name) == 0 &&
+			 now - job->started_ms > NOD_LOAD_LAG_MS;
+	}
+	return count;
+}
+
+static void on_probed(void *arg, const struct nod_load *load)
+{
+	struct server *server = arg;
+
+	server->probing = false;
+	if (load == NULL)
+		return;
+	srv_see_incarnation(server, load->incarnation);
+	srv_probed(server, load->inflight, old_runs(server));
+}
+
+/* What an earlier dispatcher left running counts against the limit. */
+static void probe(struct pool *pool)
+{
+	struct node *node = pool->set->node;
+	int64_t now = nod_now(node);
+
+	for (guint i = 0; i < pool->servers->len; i++) {
+		struct server *server = pool->servers->pdata[i];
+
+		if ((server->probed && server->foreign == 0) ||
+		    server->probing || now < server->probe_due_ms)
+			continue;
+		server->probing = true;
+		server->probe_due_ms = now + POL_PROBE_MS;
+		nod_probe(node, server->addr, on_probed, server);
+	}
+}
+
 static void run_pool(struct pool *pool)
 {
 	struct node *node = pool->set->node;
@@ -444,6 +491,7 @@
 	if (node->rules == NULL || !mem_holds(node->member, pool->shard) ||
 	    !mem_fresh(node->member))
 		return;
+	probe(pool);
 	while ((job = fair_over_rate(pool->fair)) != NULL) {
 		const struct rul_account *rule =
 			rul_account(node->rules, job->msg->request->account);
@@ -563,20 +611,6 @@
 		outcome->reason = (char *)"the backend server failed";
 }
 
-static void tell_orphan(struct pools *pools, const struct job *job)
-{
-	Aps__Peer peer = APS__PEER__INIT;
-	Aps__OrphanDone msg = APS__ORPHAN_DONE__INIT;
-
-	if (mem_holds(pools->node->member, job->pool->shard))
-		return;
-	msg.pool = job->pool->name;
-	msg.server = job->server;
-	peer.body_case = APS__PEER__BODY_ORPHAN_DONE;
-	peer.orphan_done = &msg;
-	nod_send_shard(pools->node, job->pool->shard, &peer);
-}
-
 void pol_on_run_done(struct pools *pools, uint64_t run_id,
 		     const struct nod_run_result *result)
 {
@@ -592,7 +626,6 @@
 		srv_ended(server, job->solo);
 		srv_see_incarnation(server, result->incarnation);
 	}
-	tell_orphan(pools, job);
 	outcome.step = (char *)"run";
 	outcome.peer = job->server;
 	outcome.server = job->server;
@@ -619,6 +652,26 @@
 	finish(pools, job, &outcome);
 }
 
+/* Whoever holds the pool next may start runs that we do not see. */
+static void forget_probes(struct pools *pools, int shard)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, pools->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool *pool = value;
+
+		for (guint i = 0;
+		     pool->shard == shard && i < pool->servers->len; i++) {
+			struct server *server = pool->servers->pdata[i];
+
+			server->probed = false;
+			server->foreign = 0;
+		}
+	}
+}
+
 void pol_shard_stop(struct pools *pools, int shard)
 {
 	GList *jobs = g_hash_table_get_values(pools->jobs);
@@ -633,6 +686,7 @@
 		refuse(pools, job, 503, 0, "the dispatcher has changed");
 	}
 	g_list_free(jobs);
+	forget_probes(pools, shard);
 }
 
 static gboolean job_over(void *key, void *value, void *arg)
--- a/decide/pool.h
+++ b/decide/pool.h
@@ -46,9 +46,6 @@
 /** A ledger answers. */
 void pol_on_grant(struct pools *pools, const Aps__Grant *grant);
 
-/** A run that an earlier holder started has ended. */
-void pol_on_orphan_done(struct pools *pools, const Aps__OrphanDone *msg);
-
 /** A part of an answer. */
 void pol_on_run_chunk(struct pools *pools, uint64_t run_id, const uint8_t *buf,
 		      size_t len);
--- a/decide/server.c
+++ b/decide/server.c
@@ -83,18 +83,17 @@
 
 bool srv_can_start(struct server *server, int64_t now, bool solo)
 {
-	if (server->out || server->solo > 0)
+	uint32_t busy = server->inflight + server->foreign;
+
+	if (server->out || server->solo > 0 || !server->probed)
 		return false;
 	if (server->state == SRV_DOWN && now < server->retry_ms)
 		return false;
 	if (server->state == SRV_DOWN)
 		ramp_again(server, SRV_RETRY);
-	if (solo)
-		return server->inflight == 0;
-	if (server->failures > 0)
-		return server->inflight == 0;
-	return server->inflight + 1 <= server->limit &&
-	       server->inflight < server->max;
+	if (solo || server->failures > 0)
+		return busy == 0;
+	return busy + 1 <= server->limit && busy < server->max;
 }
 
 void srv_started(struct server *server, bool solo)
@@ -145,12 +144,23 @@
 	if (incarnation == 0 || incarnation == server->incarnation)
 		return;
 	if (server->incarnation != 0) {
+		server->foreign = 0;
 		ramp_again(server, SRV_RESTART);
 		forget_cache(server);
 	}
 	server->incarnation = incarnation;
 }
 
+void srv_probed(struct server *server, uint32_t reported, uint32_t own)
+{
+	uint32_t foreign = reported > own ? reported - own : 0;
+
+	/* Earlier dispatchers start nothing more, so it only falls. */
+	if (!server->probed || foreign < server->foreign)
+		server->foreign = foreign;
+	server->probed = true;
+}
+
 uint32_t srv_cached(const struct server *server, const char *program)
 {
 	return GPOINTER_TO_UINT(g_hash_table_lookup(server->cache, program));
--- a/decide/server.h
+++ b/decide/server.h
@@ -41,6 +41,8 @@
 /** Names for the chart. */
 extern const struct chart_names srv_chart_names;
 
+struct pool;
+
 /** A backend server. */
 struct server {
 	char *name;
@@ -55,6 +57,11 @@
 	double limit;
 	uint32_t inflight;
 	uint32_t reported; /**< in-flight count as of the last load report */
+	uint32_t foreign;  /**< runs of earlier dispatchers, at most */
+	bool probed;	   /**< foreign is known */
+	bool probing;
+	int64_t probe_due_ms;
+	struct pool *pool; /**< set by the dispatcher */
 	uint32_t solo;	   /**< runs that must be alone, under way */
 	uint64_t incarnation;
 	uint32_t failures; /**< in a row */
@@ -94,6 +101,9 @@
 /** Compares incarnations, 0 being unknown; a new one has lost everything. */
 void srv_see_incarnation(struct server *server, uint64_t incarnation);
 
+/** Takes up a load report; @p own of our runs must be in it. */
+void srv_probed(struct server *server, uint32_t reported, uint32_t own);
+
 /** Returns the tokens of @p program that it should have cached. */
 uint32_t srv_cached(const struct server *server, const char *program);
 
--- a/proto/apricot.pb-c.h
+++ b/proto/apricot.pb-c.h
@@ -28,7 +28,6 @@
 typedef struct Aps__GrantAsk Aps__GrantAsk;
 typedef struct Aps__GrantReport Aps__GrantReport;
 typedef struct Aps__PoolServer Aps__PoolServer;
-typedef struct Aps__OrphanDone Aps__OrphanDone;
 typedef struct Aps__Grant Aps__Grant;
 typedef struct Aps__BudgetMove Aps__BudgetMove;
 typedef struct Aps__BudgetMoved Aps__BudgetMoved;
@@ -336,17 +335,6 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
-struct  Aps__OrphanDone
-{
-  ProtobufCMessage base;
-  char *pool;
-  char *server;
-};
-#define APS__ORPHAN_DONE__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&aps__orphan_done__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
-
-
 struct  Aps__Grant
 {
   ProtobufCMessage base;
@@ -400,8 +388,7 @@
   APS__PEER__BODY_GRANT_ASK = 18,
   APS__PEER__BODY_GRANT = 19,
   APS__PEER__BODY_BUDGET_MOVE = 20,
-  APS__PEER__BODY_BUDGET_MOVED = 21,
-  APS__PEER__BODY_ORPHAN_DONE = 22
+  APS__PEER__BODY_BUDGET_MOVED = 21
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(APS__PEER__BODY__CASE)
 } Aps__Peer__BodyCase;
 
@@ -425,7 +412,6 @@
     Aps__Grant *grant;
     Aps__BudgetMove *budget_move;
     Aps__BudgetMoved *budget_moved;
-    Aps__OrphanDone *orphan_done;
   };
 };
 #define APS__PEER__INIT \
@@ -909,25 +895,6 @@
 void   aps__pool_server__free_unpacked
                      (Aps__PoolServer *message,
                       ProtobufCAllocator *allocator);
-/* Aps__OrphanDone methods */
-void   aps__orphan_done__init
-                     (Aps__OrphanDone         *message);
-size_t aps__orphan_done__get_packed_size
-                     (const Aps__OrphanDone   *message);
-size_t aps__orphan_done__pack
-                     (const Aps__OrphanDone   *message,
-                      uint8_t             *out);
-size_t aps__orphan_done__pack_to_buffer
-                     (const Aps__OrphanDone   *message,
-                      ProtobufCBuffer     *buffer);
-Aps__OrphanDone *
-       aps__orphan_done__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   aps__orphan_done__free_unpacked
-                     (Aps__OrphanDone *message,
-                      ProtobufCAllocator *allocator);
 /* Aps__Grant methods */
 void   aps__grant__init
                      (Aps__Grant         *message);
@@ -1311,9 +1278,6 @@
 typedef void (*Aps__PoolServer_Closure)
                  (const Aps__PoolServer *message,
                   void *closure_data);
-typedef void (*Aps__OrphanDone_Closure)
-                 (const Aps__OrphanDone *message,
-                  void *closure_data);
 typedef void (*Aps__Grant_Closure)
                  (const Aps__Grant *message,
                   void *closure_data);
@@ -1390,7 +1354,6 @@
 extern const ProtobufCMessageDescriptor aps__grant_ask__descriptor;
 extern const ProtobufCMessageDescriptor aps__grant_report__descriptor;
 extern const ProtobufCMessageDescriptor aps__pool_server__descriptor;
-extern const ProtobufCMessageDescriptor aps__orphan_done__descriptor;
 extern const ProtobufCMessageDescriptor aps__grant__descriptor;
 extern const ProtobufCMessageDescriptor aps__budget_move__descriptor;
 extern const ProtobufCMessageDescriptor aps__budget_moved__descriptor;
--- a/serve/loop.c
+++ b/serve/loop.c
@@ -105,6 +105,11 @@
 	out_release(((struct loop *)arg)->out, cookie, addr, program, fence);
 }
 
+static void io_probe(void *arg, uint64_t cookie, const char *addr)
+{
+	out_probe(((struct loop *)arg)->out, cookie, addr);
+}
+
 /* A call may end before nod_call() has returned its id. */
 static struct loop_call *find_call(struct loop *loop, uint64_t id)
 {
@@ -199,6 +204,12 @@
 		       incarnation);
 }
 
+static void on_probe_done(void *arg, uint64_t cookie,
+			  const struct nod_load *load)
+{
+	nod_on_probe(((struct loop *)arg)->node, cookie, load);
+}
+
 static void on_table_done(void *arg, uint64_t cookie,
 			  const Aps__TableReply *reply)
 {
@@ -227,6 +238,7 @@
 			    .run = io_run,
 			    .cancel = io_cancel,
 			    .release = io_release,
+			    .probe = io_probe,
 			    .chunk = io_chunk,
 			    .done = io_done,
 			    .rules = io_rules,
@@ -246,6 +258,7 @@
 	struct out_events events = {.run_chunk = on_run_chunk,
 				    .run_done = on_run_done,
 				    .release_done = on_release_done,
+				    .probe_done = on_probe_done,
 				    .table_done = on_table_done,
 				    .object_done = on_object_done,
 				    .arg = loop};
--- a/serve/outbound.c
+++ b/serve/outbound.c
@@ -22,6 +22,7 @@
 	KIND_MODEL,
 	KIND_SERVICE,
 	KIND_RELEASE,
+	KIND_PROBE,
 	KIND_TABLE,
 	KIND_OBJECT,
 };
@@ -306,6 +307,15 @@
 	start(request, "DELETE", OUT_RELEASE_TIMEOUT_MS);
 }
 
+void out_probe(struct outbound *out, uint64_t cookie, const char *addr)
+{
+	char *url = g_strdup_printf("http://%s/v1/load", addr);
+	struct request *request = request_create(out, KIND_PROBE, cookie, url);
+
+	g_free(url);
+	start(request, "GET", OUT_RELEASE_TIMEOUT_MS);
+}
+
 void out_table(struct outbound *out, uint64_t cookie,
 	       const Aps__TableRequest *msg)
 {
@@ -399,6 +409,26 @@
 		aps__table_reply__free_unpacked(reply, NULL);
 }
 
+/* The report is a JSON object {"inflight": N}. */
+static void probe_done(struct request *request, bool ok)
+{
+	const struct out_events *events = &request->out->events;
+	struct nod_load load = {.incarnation = request->incarnation};
+	json_object *root = NULL;
+	json_object *value = NULL;
+
+	g_byte_array_append(request->answer, (const uint8_t *)"", 1);
+	if (ok)
+		root = json_tokener_parse((const char *)request->answer->data);
+	ok = json_object_is_type(root, json_type_object) &&
+	     json_object_object_get_ex(root, "inflight", &value) &&
+	     json_object_get_int64(value) >= 0;
+	if (ok)
+		load.inflight = (uint32_t)json_object_get_int64(value);
+	events->probe_done(events->arg, request->id, ok ? &load : NULL);
+	json_object_put(root);
+}
+
 static void tell(struct request *request, CURLcode code)
 {
 	const struct out_events *events = &request->out->events;
@@ -416,6 +446,9 @@
 		events->release_done(events->arg, request->id, ok,
 				     request->incarnation);
 		break;
+	case KIND_PROBE:
+		probe_done(request, ok);
+		break;
 	case KIND_TABLE:
 		table_done(request, ok);
 		break;
--- a/serve/outbound.h
+++ b/serve/outbound.h
@@ -25,6 +25,8 @@
 			 const struct nod_run_result *result);
 	void (*release_done)(void *arg, uint64_t cookie, bool acknowledged,
 			     uint64_t incarnation);
+	void (*probe_done)(void *arg, uint64_t cookie,
+			   const struct nod_load *load);
 	void (*table_done)(void *arg, uint64_t cookie,
 			   const Aps__TableReply *reply);
 	void (*object_done)(void *arg, uint64_t cookie, bool ok,
@@ -49,6 +51,9 @@
 void out_release(struct outbound *out, uint64_t cookie, const char *addr,
 		 const char *program, uint64_t fence);
 
+/** Asks a server for its load. */
+void out_probe(struct outbound *out, uint64_t cookie, const char *addr);
+
 /** Sends a request to the table. */
 void out_table(struct outbound *out, uint64_t cookie,
 	       const Aps__TableRequest *request);
--- a/test/sim/backends.c
+++ b/test/sim/backends.c
@@ -37,6 +37,8 @@
 	GBytes *text;
 	struct nod_run_result result;
 	bool is_release;
+	bool is_probe;
+	struct nod_load load;
 	bool acknowledged;
 };
 
@@ -109,6 +111,8 @@
 	if (n != NULL && back->is_release) {
 		nod_on_release(n->node, back->run_id, back->acknowledged,
 			       back->result.incarnation);
+	} else if (n != NULL && back->is_probe) {
+		nod_on_probe(n->node, back->run_id, &back->load);
 	} else if (n != NULL && back->text != NULL) {
 		buf = g_bytes_get_data(back->text, &len);
 		nod_on_run_chunk(n->node, back->run_id, buf, len);
@@ -299,6 +303,10 @@
 		return;
 	}
 	a->log = log_run(w, a, repeatable);
+	if (w->verbose)
+		printf("%8" G_GINT64_FORMAT " %s runs P%d.%d for %s\n",
+		       w->now_ms, s->name, a->log->prog, a->log->turn,
+		       w->nodes[a->from.node].id);
 	g_hash_table_add(s->active, a);
 	if (a->is_model)
 		start_model(w, a);
@@ -463,3 +471,27 @@
 	order->program = g_strdup(program);
 	wld_after(n->world, n->world->params.latency_ms, on_order, order);
 }
+
+/* A report on its way: it says what was so when it was asked for. */
+static void on_report(struct world *w, void *arg)
+{
+	wld_after(w, w->params.latency_ms, on_back, arg);
+}
+
+void bke_probe(struct wld_node *n, uint64_t cookie, const char *addr)
+{
+	struct world *w = n->world;
+	struct back *back = g_new0(struct back, 1);
+	int server = find_server(w, addr, strcspn(addr, ":"));
+
+	g_assert_cmpint(server, >=, 0);
+	back->to.node = n->index;
+	back->to.generation = n->generation;
+	back->run_id = cookie;
+	back->is_probe = true;
+	back->load.inflight = w->servers[server].model->inflight;
+	back->load.incarnation = w->servers[server].model->incarnation;
+	/* Reports lag. */
+	wld_after(w, (double)rng_below(&w->rng, NOD_LOAD_LAG_MS / 2), on_report,
+		  back);
+}
--- a/test/sim/world.c
+++ b/test/sim/world.c
@@ -206,6 +206,11 @@
 	bke_release(arg, cookie, addr, program, fence);
 }
 
+static void io_probe(void *arg, uint64_t cookie, const char *addr)
+{
+	bke_probe(arg, cookie, addr);
+}
+
 static void io_chunk(void *arg, uint64_t call_id, const uint8_t *buf,
 		     size_t len)
 {
@@ -276,6 +281,7 @@
 			    .run = io_run,
 			    .cancel = io_cancel,
 			    .release = io_release,
+			    .probe = io_probe,
 			    .chunk = io_chunk,
 			    .done = io_done,
 			    .rules = io_rules,
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -182,6 +182,7 @@
 void bke_cancel(struct wld_node *n, uint64_t run_id);
 void bke_release(struct wld_node *n, uint64_t cookie, const char *addr,
 		 const char *program, uint64_t fence);
+void bke_probe(struct wld_node *n, uint64_t cookie, const char *addr);
 void bke_crash(struct world *w, int server);
 void bke_node_gone(struct world *w, int node);
 
--- a/test/standins/main.c
+++ b/test/standins/main.c
@@ -218,6 +218,23 @@
 	return 200;
 }
 
+static int on_load(struct mg_connection *conn, void *arg)
+{
+	char text[64];
+	uint32_t inflight;
+
+	(void)arg;
+	pthread_mutex_lock(&lock);
+	inflight = model->inflight;
+	pthread_mutex_unlock(&lock);
+	snprintf(text, sizeof(text), "{\"inflight\":%u}", inflight);
+	mg_printf(conn,
+		  "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+		  "X-Incarnation: %" PRIu64 "\r\nContent-Length: %zu\r\n\r\n%s",
+		  model->incarnation, strlen(text), text);
+	return 200;
+}
+
 static int on_any(struct mg_connection *conn, void *arg)
 {
 	static int serial;
@@ -273,11 +290,12 @@
 		fprintf(stderr, "standin: %s: cannot listen\n", addr);
 		return 1;
 	}
+	model = mdl_create(max, true);
+	model->incarnation = (uint64_t)now_ms();
+	mg_set_request_handler(ctx, "/v1/load$", on_load, NULL);
 	if (strcmp(kind, "table") == 0) {
 		(void)tsv_create(ctx);
 	} else if (strcmp(kind, "engine") == 0) {
-		model = mdl_create(max, true);
-		model->incarnation = (uint64_t)now_ms();
 		mg_set_request_handler(ctx, "/v1/chat/completions$", on_chat,
 				       NULL);
 		mg_set_request_handler(ctx, "/v1/programs/*", on_release, NULL);
