A dead row keeps the last transaction id of its instance

The instance n3 lost the reply to a commit that had taken effect, was cut off, and taken for dead; the taker copies the row and sets only its state. Back again, n3 found its own transaction id in the row, took the dead row's version for its own, and wrote over five newer turns.

Ruled out: a late transaction (its condition fails) and a stale load (the row was read after the shard row).

Change: a row marked dead is never read as a success.

--- a/decide/commit.c
+++ b/decide/commit.c
@@ -207,8 +207,11 @@
 		return;
 	}
 	self = aps__instance_row__unpack(NULL, row->value.len, row->value.data);
+	/* A taker keeps our transaction id when it marks the row as dead. */
 	if (self != NULL && self->txn == commit->txn &&
-	    self->incarnation == commit->node->incarnation) {
+	    self->incarnation == commit->node->incarnation &&
+	    (self->state != APS__INSTANCE_STATE__DEAD ||
+	     commit->state == APS__INSTANCE_STATE__DEAD)) {
 		/* An earlier try took effect and its reply was lost. */
 		succeed(commit, row->version);
 	} else {
--- a/decide/entry.c
+++ b/decide/entry.c
@@ -20,6 +20,8 @@
 	uint64_t sent_incarnation;
 	bool sent;
 	bool owner_refused; /* the last owner vouches that it did not run */
+	uint32_t copies;    /* sent to it and not vouched for */
+	bool uncertain;	    /* an earlier owner may have had it run */
 	GByteArray *streamed;
 };
 
@@ -160,8 +162,9 @@
 		return;
 	if (done->moved) {
 		call->send_due_ms = nod_now(entry->node) + ENT_MOVED_MS;
-		/* A later incarnation cannot vouch for an earlier one. */
-		call->owner_refused = incarnation == call->sent_incarnation;
+		/* Each reply vouches for one copy, by one incarnation. */
+		if (incarnation == call->sent_incarnation && call->copies > 0)
+			call->owner_refused = --call->copies == 0;
 		mem_poll_soon(entry->node->member);
 		return;
 	}
@@ -171,6 +174,9 @@
 		fail(entry, call, 502, "answer changed while it was streamed");
 		return;
 	}
+	if (call->uncertain && done->outcome->executed == APS__EXECUTED__NO) {
+		done->outcome->executed = APS__EXECUTED__UNKNOWN;
+	}
 	finish(entry, call, done->outcome);
 }
 
@@ -191,6 +197,11 @@
 		return;
 	call->sent = true;
 	call->owner_refused = false;
+	if (mem_epoch(node->member, call->shard) != call->sent_epoch) {
+		call->uncertain |= call->copies > 0;
+		call->copies = 0;
+	}
+	call->copies++;
 	call->sent_epoch = mem_epoch(node->member, call->shard);
 	call->sent_incarnation =
 		mem_holder_incarnation(node->member, call->shard);
@@ -200,8 +211,8 @@
 /* A call that keeps no record may go to one owner only. */
 static bool may_send(const struct entry *entry, const struct ecall *call)
 {
-	return !call->sent || !call->request->transient ||
-	       call->request->repeatable || call->owner_refused ||
+	return !call->request->transient || call->request->repeatable ||
+	       (call->copies == 0 && !call->uncertain) ||
 	       mem_epoch(entry->node->member, call->shard) == call->sent_epoch;
 }
 
--- a/decide/member.c
+++ b/decide/member.c
@@ -62,6 +62,7 @@
 	int64_t poll_good_ms; /* sending time of the last good poll */
 	int64_t watch_ms;     /* since when polls came without a gap */
 	int64_t plan_due_ms;
+	uint64_t dead_version; /* of the row last logged as dead */
 };
 
 static void instance_free(void *p)
@@ -226,12 +227,11 @@
 		return;
 	}
 	set_row(shard, seen, row->version);
-	if (is_self(member, seen)) {
-		if (shard->hold == HOLD_NONE || shard->hold == HOLD_CLAIMING)
-			shard_load(shard);
-	} else if (shard->hold >= HOLD_LOADING) {
+	/* Whoever wrote it may have held the shard since: start afresh. */
+	if (shard->hold >= HOLD_LOADING)
 		shard_stop(shard);
-	}
+	if (is_self(member, seen))
+		shard_load(shard);
 }
 
 static void see_row(struct member *member, const Aps__Row *row)
@@ -422,9 +422,11 @@
 		     dead->row->incarnation != shard->row->incarnation))
 			dead = NULL;
 	}
-	if (dead != NULL)
+	if (dead != NULL && member->dead_version != dead->version)
 		nod_log(member->node, "member: %s is taken for dead",
 			dead->row->id);
+	if (dead != NULL)
+		member->dead_version = dead->version;
 	shard->hold = HOLD_CLAIMING;
 	write_shard(shard, &row, dead, on_claimed);
 }
--- a/decide/owner.c
+++ b/decide/owner.c
@@ -140,7 +140,8 @@
 {
 	aps__outcome__init(outcome);
 	outcome->status = status;
-	outcome->executed = APS__EXECUTED__NO;
+	outcome->executed =
+		turn->may_have_run ? APS__EXECUTED__UNKNOWN : APS__EXECUTED__NO;
 	outcome->step = (char *)"owner";
 	outcome->peer = turn->owner->node->id;
 	outcome->reason = (char *)reason;
@@ -509,7 +510,10 @@
 {
 	struct program *program = turn->program;
 
-	if (outcome->executed == APS__EXECUTED__NO || program->transient)
+	if (outcome->executed == APS__EXECUTED__NO)
+		return;
+	turn->may_have_run = true;
+	if (program->transient)
 		return;
 	program->used += turn->reserved;
 	if (turn->request->kind != APS__CALL_KIND__MODEL)
@@ -525,6 +529,8 @@
 	struct program *program = turn->program;
 
 	set_outcome(turn, outcome);
+	if (turn->may_have_run && turn->outcome->executed == APS__EXECUTED__NO)
+		turn->outcome->executed = APS__EXECUTED__UNKNOWN;
 	if (program->transient) {
 		step(turn, TURN_FINISH);
 		finish(turn);
--- a/decide/owner_int.h
+++ b/decide/owner_int.h
@@ -56,6 +56,7 @@
 	uint64_t reserved; /**< tokens */
 	uint32_t attempts;
 	bool cancelled;
+	bool may_have_run;    /**< an earlier attempt did, or may have */
 	uint64_t dispatch_id; /**< 0 if not dispatched */
 	bool dispatched;      /**< it was sent at least once */
 	char *dispatcher;     /**< instance it was sent to */
