One owner for what keeps no record; proof before more than a cold load

Cause: ran a keyless order twice: its entry, cut off from the table, sent its copies to an instance by name that had died, come back and taken the shard again. The call now names the owner epoch it is meant for.

--- a/decide/entry.c
+++ b/decide/entry.c
@@ -191,6 +191,7 @@
 	msg.deadline_ms = (uint32_t)(call->deadline_ms - now);
 	msg.streamed = nod_bytes(call->streamed->data, call->streamed->len);
 	msg.request = call->request;
+	msg.owner_epoch = mem_epoch(node->member, call->shard);
 	peer.body_case = APS__PEER__BODY_CALL;
 	peer.call = &msg;
 	if (!nod_send_shard(node, call->shard, &peer))
--- a/decide/owner.c
+++ b/decide/owner.c
@@ -703,6 +703,14 @@
 		      request->body_hash.len) == 0;
 }
 
+/* What keeps no record and must not run twice has one owner ever. */
+static bool meant_for_another(const struct owner *owner, const Aps__Call *msg,
+			      int shard)
+{
+	return msg->request->transient && !msg->request->repeatable &&
+	       msg->owner_epoch != mem_epoch(owner->node->member, shard);
+}
+
 void own_on_call(struct owner *owner, const char *from, const Aps__Call *msg)
 {
 	const Aps__Request *request = msg->request;
@@ -713,7 +721,8 @@
 	struct program *program;
 	struct turn *turn;
 
-	if (!mem_holds(node->member, shard) || node->rules == NULL) {
+	if (!mem_holds(node->member, shard) || node->rules == NULL ||
+	    meant_for_another(owner, msg, shard)) {
 		mem_poll_soon(node->member);
 		send_call_done(node, from, msg->call_id, NULL);
 		return;
--- a/decide/pool.c
+++ b/decide/pool.c
@@ -521,6 +521,15 @@
 	nod_send(pools->node, job->from, &peer);
 }
 
+static void first_part(struct job *job)
+{
+	struct server *server = plc_server(job->pool, job->server);
+
+	job->first_ms = nod_now(job->pool->set->node);
+	if (server != NULL)
+		srv_heard(server, job->first_ms);
+}
+
 void pol_on_run_chunk(struct pools *pools, uint64_t run_id, const uint8_t *buf,
 		      size_t len)
 {
@@ -530,7 +539,7 @@
 	if (job == NULL)
 		return;
 	if (job->first_ms == 0)
-		job->first_ms = nod_now(pools->node);
+		first_part(job);
 	offset = job->text->len;
 	g_byte_array_append(job->text, buf, (guint)len);
 	send_chunk(pools, job, offset);
@@ -549,6 +558,7 @@
 	if (server == NULL)
 		return;
 	outcome->incarnation = server->incarnation;
+	server->seen_ms = nod_now(pools->node);
 	srv_answered(server, plc_learn(job->pool, job, server, outcome));
 	if (request->kind != APS__CALL_KIND__MODEL || request->transient)
 		return;
@@ -623,7 +633,7 @@
 	g_hash_table_remove(pools->runs, &run_id);
 	server = plc_server(job->pool, job->server);
 	if (server != NULL) {
-		srv_ended(server, job->solo);
+		srv_ended(server, job->solo, job->first_ms > 0);
 		srv_see_incarnation(server, result->incarnation);
 	}
 	outcome.step = (char *)"run";
--- a/decide/server.c
+++ b/decide/server.c
@@ -81,6 +81,15 @@
 	return !server->out && server->state != SRV_DOWN;
 }
 
+/*
+ * A server that restarts without warning breaks the runs under way; one that
+ * is idle gives no sign, so it gets no more than a cold one until it does.
+ */
+static bool proved(const struct server *server, int64_t now)
+{
+	return server->live > 0 || now - server->seen_ms <= SRV_SEEN_MS;
+}
+
 bool srv_can_start(struct server *server, int64_t now, bool solo)
 {
 	uint32_t busy = server->inflight + server->foreign;
@@ -93,17 +102,27 @@
 		ramp_again(server, SRV_RETRY);
 	if (solo || server->failures > 0)
 		return busy == 0;
+	if (busy >= SRV_LIMIT_START && !proved(server, now))
+		return false;
 	return busy + 1 <= server->limit && busy < server->max;
 }
 
+void srv_heard(struct server *server, int64_t now)
+{
+	server->live++;
+	server->seen_ms = now;
+}
+
 void srv_started(struct server *server, bool solo)
 {
 	server->inflight++;
 	server->solo += solo;
 }
 
-void srv_ended(struct server *server, bool solo)
+void srv_ended(struct server *server, bool solo, bool live)
 {
+	if (server->live > 0)
+		server->live -= live;
 	if (server->inflight > 0)
 		server->inflight--;
 	if (server->solo > 0)
--- a/decide/server.h
+++ b/decide/server.h
@@ -14,6 +14,8 @@
 enum {
 	/** Limit of a server that has just started, in requests. */
 	SRV_LIMIT_START = 2,
+	/** Time for which a sign of life counts, in ms. */
+	SRV_SEEN_MS = 200,
 	/** Programs whose cached prefix is remembered. */
 	SRV_CACHE_PROGRAMS = 512,
 	/** First backoff after a failure, in ms; it doubles. */
@@ -57,6 +59,8 @@
 	double limit;
 	uint32_t inflight;
 	uint32_t reported; /**< in-flight count as of the last load report */
+	uint32_t live;	   /**< runs under way that have brought something */
+	int64_t seen_ms;   /**< last sign of this incarnation */
 	uint32_t foreign;  /**< runs of earlier dispatchers, at most */
 	bool probed;	   /**< foreign is known */
 	bool probing;
@@ -86,11 +90,14 @@
 /** Returns whether it takes work at all, now or when a run ends. */
 bool srv_usable(const struct server *server);
 
+/** A run under way has brought its first part. */
+void srv_heard(struct server *server, int64_t now);
+
 /** Counts a run in. */
 void srv_started(struct server *server, bool solo);
 
-/** Counts a run out. */
-void srv_ended(struct server *server, bool solo);
+/** Counts a run out; @p live says whether srv_heard() was called for it. */
+void srv_ended(struct server *server, bool solo, bool live);
 
 /** A whole answer came. @p timely says whether it was as fast as expected. */
 void srv_answered(struct server *server, bool timely);
--- a/proto/apricot.pb-c.c
+++ b/proto/apricot.pb-c.c
@@ -1790,7 +1790,7 @@
   (ProtobufCMessageInit) aps__request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aps__call__field_descriptors[4] =
+static const ProtobufCFieldDescriptor aps__call__field_descriptors[5] =
 {
   {
     "call_id",
@@ -1840,17 +1840,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "owner_epoch",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Aps__Call, owner_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned aps__call__field_indices_by_name[] = {
   0,   /* field[0] = call_id */
   1,   /* field[1] = deadline_ms */
+  4,   /* field[4] = owner_epoch */
   3,   /* field[3] = request */
   2,   /* field[2] = streamed */
 };
 static const ProtobufCIntRange aps__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor aps__call__descriptor =
 {
@@ -1860,7 +1873,7 @@
   "Aps__Call",
   "aps",
   sizeof(Aps__Call),
-  4,
+  5,
   aps__call__field_descriptors,
   aps__call__field_indices_by_name,
   1,  aps__call__number_ranges,
--- a/proto/apricot.pb-c.h
+++ b/proto/apricot.pb-c.h
@@ -182,10 +182,14 @@
    */
   ProtobufCBinaryData streamed;
   Aps__Request *request;
+  /*
+   * epoch of the owner this is meant for
+   */
+  uint64_t owner_epoch;
 };
 #define APS__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&aps__call__descriptor) \
-    , 0, 0, {0,NULL}, NULL }
+    , 0, 0, {0,NULL}, NULL, 0 }
 
 
 struct  Aps__CallChunk
--- a/test/sim/clients.c
+++ b/test/sim/clients.c
@@ -167,6 +167,9 @@
 	prog->call_key = 0;
 	prog->timeout_id++;
 	g_byte_array_set_size(prog->streamed, 0);
+	if (w->verbose)
+		printf("%8" G_GINT64_FORMAT " P%d.%d called at %s\n", w->now_ms,
+		       prog->index, prog->turn, n->id);
 	calling = prog;
 	id = nod_call(n->node, &msg);
 	calling = NULL;
@@ -353,6 +356,11 @@
 
 	if (prog == NULL)
 		return;
+	if (n->world->verbose)
+		printf("%8" G_GINT64_FORMAT " P%d.%d: %u executed %d: %s\n",
+		       n->world->now_ms, prog->index, prog->turn,
+		       outcome->status, (int)outcome->executed,
+		       outcome->reason);
 	if (prog->turn == prog->turns) {
 		on_end_reply(prog, outcome);
 	} else if (outcome->status == 200) {
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -82,8 +82,9 @@
 	char pool[16];
 	struct model *model;
 	bool out;
-	int64_t out_ms;	    /**< when it was taken out, 0 if it is in */
-	GHashTable *active; /**< runs under way */
+	int64_t down_until_ms; /**< refuses connections until then */
+	int64_t out_ms;	       /**< when it was taken out, 0 if it is in */
+	GHashTable *active;    /**< runs under way */
 };
 
 /** A client account. */
