Ids that no later incarnation uses again

Cause: gave P3 the answer of P4. An instance that came back counted its call ids from 0 again, and an owner still had a waiter for call 7 of its earlier life. Ids now start at random in each process, as X-Request-Id already needed towards the backend servers.

Ruled out: the fake caller (it matches instance and id).

--- a/decide/node.c
+++ b/decide/node.c
@@ -17,6 +17,7 @@
 	NOD_VERSION = 1,	    /* of the messages between peers */
 	NOD_FRAME_MAX = 8 << 20,    /* longest frame, in bytes */
 	NOD_DRAIN_ALONE_MS = 10000, /* least time to wait for the table */
+	NOD_ID_SHIFT = 2, /* leaves room to count up from a random id */
 	NOD_LOG_MAX = 256,
 	NOD_LOCAL_ROUNDS_MAX = 64, /* rounds of local delivery in one tick */
 };
@@ -246,6 +247,8 @@
 	node->commit_gap_ms = settings->commit_gap_ms;
 	node->policy = settings->policy;
 	node->rng.state = settings->seed;
+	/* No later incarnation may take an answer meant for this one. */
+	node->last_id = rng_next(&node->rng) >> NOD_ID_SHIFT;
 	node->clk = clk;
 	node->io = *io;
 	modules_create(node);
@@ -512,10 +515,10 @@
 	settle(node);
 }
 
-void nod_on_run_chunk(struct node *node, uint64_t run_id, const uint8_t *buf,
-		      size_t len)
+void nod_on_run_chunk(struct node *node, uint64_t run_id, uint64_t incarnation,
+		      const uint8_t *buf, size_t len)
 {
-	pol_on_run_chunk(node->pools, run_id, buf, len);
+	pol_on_run_chunk(node->pools, run_id, incarnation, buf, len);
 	settle(node);
 }
 
--- a/decide/node.h
+++ b/decide/node.h
@@ -176,9 +176,9 @@
 void nod_on_object(struct node *node, uint64_t cookie, bool ok,
 		   const uint8_t *buf, size_t len);
 
-/** A part of an answer. */
-void nod_on_run_chunk(struct node *node, uint64_t run_id, const uint8_t *buf,
-		      size_t len);
+/** A part of an answer; @p incarnation of the server, 0 if unknown. */
+void nod_on_run_chunk(struct node *node, uint64_t run_id, uint64_t incarnation,
+		      const uint8_t *buf, size_t len);
 
 /** The end of a run. */
 void nod_on_run_done(struct node *node, uint64_t run_id,
--- a/decide/pool.c
+++ b/decide/pool.c
@@ -521,17 +521,19 @@
 	nod_send(pools->node, job->from, &peer);
 }
 
-static void first_part(struct job *job)
+static void first_part(struct job *job, uint64_t incarnation)
 {
 	struct server *server = plc_server(job->pool, job->server);
 
 	job->first_ms = nod_now(job->pool->set->node);
-	if (server != NULL)
-		srv_heard(server, job->first_ms);
+	if (server == NULL)
+		return;
+	srv_see_incarnation(server, incarnation);
+	srv_heard(server, job->first_ms);
 }
 
-void pol_on_run_chunk(struct pools *pools, uint64_t run_id, const uint8_t *buf,
-		      size_t len)
+void pol_on_run_chunk(struct pools *pools, uint64_t run_id,
+		      uint64_t incarnation, const uint8_t *buf, size_t len)
 {
 	struct job *job = g_hash_table_lookup(pools->runs, &run_id);
 	size_t offset;
@@ -539,7 +541,7 @@
 	if (job == NULL)
 		return;
 	if (job->first_ms == 0)
-		first_part(job);
+		first_part(job, incarnation);
 	offset = job->text->len;
 	g_byte_array_append(job->text, buf, (guint)len);
 	send_chunk(pools, job, offset);
--- a/decide/pool.h
+++ b/decide/pool.h
@@ -47,8 +47,8 @@
 void pol_on_grant(struct pools *pools, const Aps__Grant *grant);
 
 /** A part of an answer. */
-void pol_on_run_chunk(struct pools *pools, uint64_t run_id, const uint8_t *buf,
-		      size_t len);
+void pol_on_run_chunk(struct pools *pools, uint64_t run_id,
+		      uint64_t incarnation, const uint8_t *buf, size_t len);
 
 /** The end of a run. */
 void pol_on_run_done(struct pools *pools, uint64_t run_id,
--- a/serve/loop.c
+++ b/serve/loop.c
@@ -186,9 +186,10 @@
 	nod_on_peer(((struct loop *)arg)->node, buf, len);
 }
 
-static void on_run_chunk(void *arg, uint64_t id, const uint8_t *buf, size_t len)
+static void on_run_chunk(void *arg, uint64_t id, uint64_t incarnation,
+			 const uint8_t *buf, size_t len)
 {
-	nod_on_run_chunk(((struct loop *)arg)->node, id, buf, len);
+	nod_on_run_chunk(((struct loop *)arg)->node, id, incarnation, buf, len);
 }
 
 static void on_run_done(void *arg, uint64_t id,
--- a/serve/outbound.c
+++ b/serve/outbound.c
@@ -112,7 +112,7 @@
 		return;
 	if (!request->cancelled)
 		events->run_chunk(events->arg, request->id,
-				  request->pending->data,
+				  request->incarnation, request->pending->data,
 				  request->pending->len);
 	g_byte_array_set_size(request->pending, 0);
 }
@@ -392,7 +392,8 @@
 	if (request->kind == KIND_SERVICE && result.end == NOD_RUN_WHOLE &&
 	    request->answer->len > 0)
 		events->run_chunk(events->arg, request->id,
-				  request->answer->data, request->answer->len);
+				  request->incarnation, request->answer->data,
+				  request->answer->len);
 	events->run_done(events->arg, request->id, &result);
 }
 
--- a/serve/outbound.h
+++ b/serve/outbound.h
@@ -19,8 +19,8 @@
 
 /** Who is told of what came back. */
 struct out_events {
-	void (*run_chunk)(void *arg, uint64_t run_id, const uint8_t *buf,
-			  size_t len);
+	void (*run_chunk)(void *arg, uint64_t run_id, uint64_t incarnation,
+			  const uint8_t *buf, size_t len);
 	void (*run_done)(void *arg, uint64_t run_id,
 			 const struct nod_run_result *result);
 	void (*release_done)(void *arg, uint64_t cookie, bool acknowledged,
