--- a/test/scenario.c
+++ b/test/scenario.c
@@ -58,7 +58,7 @@
 {
 	for (int i = 1; i + 1 < n; i++) {
 		if (strcmp(word[i], name) == 0)
-			return word[i + 1];
+			return g_intern_string(word[i + 1]);
 	}
 	return NULL;
 }
--- a/test/sim/clients.c
+++ b/test/sim/clients.c
@@ -287,6 +287,19 @@
 		wld_after(w, pause, on_call, prog);
 }
 
+static void stop(struct prog *prog, uint32_t status)
+{
+	prog->calling = false;
+	prog->finished = true;
+	prog->status = status;
+}
+
+/* Without a key or a program a second call would be a second request. */
+static void give_up(struct prog *prog)
+{
+	stop(prog, 502);
+}
+
 static void on_end_reply(struct prog *prog, const Aps__Outcome *outcome)
 {
 	prog->calling = false;
@@ -312,21 +325,10 @@
 
 	g_array_append_val(prog->not_run, note);
 	prog->refused_rate += outcome->status == 429;
-	if (stops(outcome->status)) {
-		prog->calling = false;
-		prog->finished = true;
-		prog->status = outcome->status;
-		return;
-	}
-	call_again(prog, RETRY_MS + outcome->retry_after_ms);
-}
-
-/* Without a key or a program a second call would be a second request. */
-static void give_up(struct prog *prog)
-{
-	prog->calling = false;
-	prog->finished = true;
-	prog->status = 502;
+	if (stops(outcome->status))
+		stop(prog, outcome->status);
+	else
+		call_again(prog, RETRY_MS + outcome->retry_after_ms);
 }
 
 /* What may have run: a repeatable turn is sent again, others once more. */
@@ -340,7 +342,7 @@
 	else if (prog->tool && recorded)
 		turn_over(prog, false);
 	else if (outcome->status == 401)
-		on_not_run(prog, outcome);
+		stop(prog, outcome->status);
 	else
 		call_again(prog, RETRY_MS);
 }
