--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 $(B)/load: $(CORE) $(call obj,$(SIM) test/standins/model.c bench/load.c)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(B)/unit/%: $(CORE) $(B)/obj/test/unit/%.o $(call obj,serve/http_parse.c)
+$(B)/unit/%: $(CORE) $(B)/obj/test/unit/%.o $(call obj,$(filter-out serve/http.c serve/loop.c serve/outbound.c,$(SERVE)))
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 
--- /dev/null
+++ b/test/unit/test_parsers.c
@@ -0,0 +1,298 @@
+/**
+ * @file test_parsers.c
+ * @brief Bad input: each gets a clear error, and nothing else happens.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <sodium.h>
+
+#include "decide/chart.h"
+#include "decide/charts.h"
+#include "decide/rules.h"
+#include "serve/http_parse.h"
+#include "serve/peer.h"
+#include "serve/settings.h"
+#include "serve/sse.h"
+
+#define GOOD_RULES                                                             \
+	"account a rate 1 burst 2 # ann: contract\n"                           \
+	"account open rate 1 burst 2 # ann: open\n"                            \
+	"model m pool p # ann: model\n"                                        \
+	"service s pool p # ann: orders\n"                                     \
+	"service free pool p repeat yes open yes # ann: hours\n"               \
+	"server k pool p zone z addr 127.0.0.1:1 # ann: rack\n"
+
+static void expect_fault(const char *text, const char *fault)
+{
+	GString *errors = g_string_new(NULL);
+	char *all = g_strconcat(GOOD_RULES, text, NULL);
+	struct rules *rules = rul_parse(all, 1, "f", errors);
+
+	assert_null(rules);
+	if (strstr(errors->str, fault) == NULL)
+		fail_msg("'%s' gave '%s'", text, errors->str);
+	assert_non_null(strstr(errors->str, "f:"));
+	g_string_free(errors, TRUE);
+	g_free(all);
+}
+
+static void test_rules_faults(void **state)
+{
+	(void)state;
+	expect_fault("zone z state out\n", "no comment naming who asked");
+	expect_fault("zone z state out # because\n", "names nobody");
+	expect_fault("zone z state off # ann: x\n", "in or out");
+	expect_fault("lane z state out # ann: x\n", "unknown rule lane");
+	expect_fault("account b rate x burst 1 # ann: x\n", "rate: 'x'");
+	expect_fault("account b rate nan burst 1 # ann: x\n", "rate: 'nan'");
+	expect_fault("account b rate 1 # ann: x\n", "burst is missing");
+	expect_fault("account a rate 1 burst 1 # ann: x\n", "given twice");
+	expect_fault("account b rate 1 rate 2 burst 1 # ann: x\n",
+		     "rate given twice");
+	expect_fault("account b rate 1 burst 1 hue 3 # ann: x\n",
+		     "unknown field hue");
+	expect_fault("key 00 account a # ann: x\n", "64 hexadecimal digits");
+	expect_fault("model n pool q # ann: x\n", "pool q has no server");
+	expect_fault("server j pool p zone z addr x # ann: x\n", "HOST:PORT");
+	expect_fault("limit cats turns 1 # ann: x\n", "unknown limit cats");
+}
+
+static void test_rules_good(void **state)
+{
+	GString *errors = g_string_new(NULL);
+	struct rules *rules = rul_parse(
+		GOOD_RULES "zone z state out # bob: flood\n", 7, "f", errors);
+	const struct rul_server *server;
+	char *line;
+
+	(void)state;
+	assert_non_null(rules);
+	server = rul_server(rules, "k");
+	assert_true(server->out);
+	line = rul_line(rules, server->out_line);
+	assert_string_equal(line, "zone z state out # bob: flood");
+	g_free(line);
+	rul_destroy(rules);
+	g_string_free(errors, TRUE);
+}
+
+#define SETTINGS(more)                                                         \
+	"{ // comment\n\"id\":\"n1\",\"zone\":\"a\",\"http\":\"h:1\","         \
+	"\"peer\":\"h:2\",\"platform\":\"embedded\"" more "}"
+
+static void expect_setting_fault(const char *text, const char *fault)
+{
+	GString *errors = g_string_new(NULL);
+
+	assert_null(set_parse(text, "f", errors));
+	if (strstr(errors->str, fault) == NULL)
+		fail_msg("'%s' gave '%s'", text, errors->str);
+	g_string_free(errors, TRUE);
+}
+
+static void test_settings(void **state)
+{
+	GString *errors = g_string_new(NULL);
+	struct settings *settings = set_parse(SETTINGS(""), "f", errors);
+
+	(void)state;
+	assert_non_null(settings);
+	assert_string_equal(settings->zone, "a");
+	set_destroy(settings);
+	g_string_free(errors, TRUE);
+	expect_setting_fault(SETTINGS(",\"hue\":1"), "hue: unknown setting");
+	expect_setting_fault(SETTINGS(",\"zone\":\"b\""), "zone: given twice");
+	expect_setting_fault(SETTINGS(",\"threads\":0"),
+			     "threads: not a number");
+	expect_setting_fault(SETTINGS(",\"threads\":\"9\""), "threads: not");
+	expect_setting_fault("{\"id\":\"n\"}", "zone: missing");
+	expect_setting_fault("[]", "not a JSON object");
+	expect_setting_fault("{", "not a JSON object");
+}
+
+/* Parses one call against the good rules. @return its status, 200 if taken */
+static uint32_t parse_call(const struct htp_input *input, const char **reason)
+{
+	GString *errors = g_string_new(NULL);
+	uint8_t hash[RUL_HASH_BYTES];
+	char hex[2 * RUL_HASH_BYTES + 1];
+	struct htp_call *call;
+	struct rules *rules;
+	uint32_t status = 200;
+	char *text;
+
+	crypto_hash_sha256(hash, (const unsigned char *)"secret", 6);
+	sodium_bin2hex(hex, sizeof(hex), hash, sizeof(hash));
+	text = g_strdup_printf(GOOD_RULES "key %s account a # ann: key\n", hex);
+	rules = rul_parse(text, 1, "f", errors);
+	assert_non_null(rules);
+	call = htp_parse(input, rules, "u", &status, reason);
+	if (call != NULL) {
+		assert_true(g_str_has_prefix(call->program, call->account));
+		assert_null(strstr(call->program, "secret"));
+	}
+	htp_destroy(call);
+	rul_destroy(rules);
+	g_free(text);
+	g_string_free(errors, TRUE);
+	return status;
+}
+
+static struct htp_input chat(const char *body)
+{
+	struct htp_input input = {.authorization = "Bearer secret",
+				  .body = body,
+				  .body_len = strlen(body)};
+
+	return input;
+}
+
+#define CHAT "{\"model\":\"m\",\"messages\":[{\"role\":\"user\"}]}"
+
+static void test_calls(void **state)
+{
+	struct htp_input input = chat(CHAT);
+	const char *reason = "";
+
+	(void)state;
+	assert_int_equal(parse_call(&input, &reason), 200);
+	input.program = "p1";
+	assert_int_equal(parse_call(&input, &reason), 400);
+	input.turn = "0";
+	assert_int_equal(parse_call(&input, &reason), 200);
+	input.turn = "-1";
+	assert_int_equal(parse_call(&input, &reason), 400);
+	input = chat(CHAT);
+	input.program = "../p";
+	assert_int_equal(parse_call(&input, &reason), 400);
+	input = chat(CHAT);
+	input.authorization = "Bearer wrong";
+	assert_int_equal(parse_call(&input, &reason), 401);
+	input.authorization = NULL;
+	assert_int_equal(parse_call(&input, &reason), 401);
+	input.service = "free";
+	assert_int_equal(parse_call(&input, &reason), 200);
+	input.service = "s";
+	assert_int_equal(parse_call(&input, &reason), 401);
+	input = chat("{\"model\":\"x\",\"messages\":[{}]}");
+	assert_int_equal(parse_call(&input, &reason), 404);
+	input = chat("{\"model\":\"m\",\"messages\":[]}");
+	assert_int_equal(parse_call(&input, &reason), 400);
+	input = chat("{\"model\":\"m\",\"max_tokens\":-1,\"messages\":[{}]}");
+	assert_int_equal(parse_call(&input, &reason), 400);
+	input = chat("nonsense");
+	assert_int_equal(parse_call(&input, &reason), 400);
+	assert_string_equal(reason, "body: not JSON");
+	input = chat(CHAT);
+	input.budget = "0";
+	assert_int_equal(parse_call(&input, &reason), 400);
+	input.budget = NULL;
+	input.timeout_ms = "99999999999999999999";
+	assert_int_equal(parse_call(&input, &reason), 400);
+}
+
+static void count_frame(void *arg, const uint8_t *buf, size_t len)
+{
+	(void)buf;
+	*(size_t *)arg += len;
+}
+
+static void test_frames(void **state)
+{
+	const uint8_t two[] = {0, 0, 0, 2, 'a', 'b', 0, 0, 0, 1, 'c', 0};
+	const uint8_t huge[] = {0xff, 0xff, 0xff, 0xff};
+	GByteArray *in = g_byte_array_new();
+	size_t total = 0;
+
+	(void)state;
+	g_byte_array_append(in, two, sizeof(two));
+	assert_true(peer_cut(in, count_frame, &total));
+	assert_int_equal(total, 3);
+	assert_int_equal(in->len, 1);
+	g_byte_array_set_size(in, 0);
+	g_byte_array_append(in, huge, sizeof(huge));
+	assert_false(peer_cut(in, count_frame, &total));
+	g_byte_array_unref(in);
+}
+
+static void append(void *arg, const char *text, size_t len)
+{
+	g_string_append_len(arg, text, (gssize)len);
+}
+
+static void test_stream(void **state)
+{
+	static const char events[] =
+		"data: "
+		"{\"id\":\"7\",\"choices\":[{\"delta\":{\"content\":\"a\"}}"
+		"]}\r\n\ndata: {\"usage\":{\"prompt_tokens\":5}}\n\n"
+		"data: [DONE]\n\n";
+	GString *text = g_string_new(NULL);
+	struct sse sse;
+
+	(void)state;
+	sse_init(&sse);
+	for (size_t i = 0; i < strlen(events); i++)
+		sse_feed(&sse, events + i, 1, append, text);
+	assert_true(sse.done);
+	assert_false(sse.malformed);
+	assert_string_equal(sse.id, "7");
+	assert_string_equal(text->str, "a");
+	assert_int_equal(sse.prompt_tokens, 5);
+	sse_clear(&sse);
+	sse_init(&sse);
+	sse_feed(&sse, "data: {\"cho\n", 12, append, text);
+	assert_true(sse.malformed);
+	assert_false(sse.done);
+	sse_clear(&sse);
+	g_string_free(text, TRUE);
+}
+
+static void test_charts(void **state)
+{
+	static const char *const states[] = {"a", "b", NULL};
+	static const char *const events[] = {"x", NULL};
+	const struct chart_names names = {states, events};
+	static const char *const bad[] = {
+		"state a\nstate b final\n",	      /* unreachable */
+		"state a\nstate b\na x -> b\n",	      /* dead end */
+		"state a\nstate b final\na y -> b\n", /* unknown event */
+		"state a\nstate b final\na x -> b\na x -> b\n", /* twice */
+		"state a\nstate a\n",
+		"a x b\n",
+	};
+	char err[160];
+	struct chart *chart;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+		assert_null(chart_create(bad[i], &names, err, sizeof(err)));
+	chart = chart_create("state a\nstate b final # end\na x -> b\n", &names,
+			     err, sizeof(err));
+	assert_non_null(chart);
+	assert_int_equal(chart_step(chart, 0, 0), 1);
+	assert_int_equal(chart_step(chart, 1, 0), -1);
+	chart_destroy(chart);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_rules_faults),
+		cmocka_unit_test(test_rules_good),
+		cmocka_unit_test(test_settings),
+		cmocka_unit_test(test_calls),
+		cmocka_unit_test(test_frames),
+		cmocka_unit_test(test_stream),
+		cmocka_unit_test(test_charts),
+	};
+
+	if (sodium_init() < 0)
+		return 1;
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
