--- a/test/sim/backends.c
+++ b/test/sim/backends.c
@@ -242,11 +242,26 @@
 	return run;
 }
 
+static void count_waste(struct world *w, const struct active *a)
+{
+	uint32_t best = a->cached;
+
+	for (int i = 0; i < w->nservers; i++) {
+		uint32_t held = GPOINTER_TO_UINT(g_hash_table_lookup(
+			w->servers[i].model->held, a->program));
+
+		best = MAX(best, MIN(held, a->prompt));
+	}
+	w->fresh_tokens += a->prompt - a->cached;
+	w->wasted_tokens += best - a->cached;
+}
+
 static void start_model(struct world *w, struct active *a)
 {
 	struct wld_server *s = &w->servers[a->server];
 
 	a->cached = mdl_start(s->model, a->program, a->prompt);
+	count_waste(w, a);
 	if (strstr(a->body, "CRASH") != NULL) {
 		bke_crash(w, a->server);
 		active_free(a);
--- a/test/sim/clients.c
+++ b/test/sim/clients.c
@@ -26,10 +26,13 @@
 void cli_create(struct world *w)
 {
 	w->progs = g_ptr_array_new_with_free_func(prog_free);
+	w->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					 NULL);
 }
 
 void cli_destroy(struct world *w)
 {
+	g_hash_table_unref(w->calls);
 	g_ptr_array_unref(w->progs);
 }
 
@@ -134,8 +137,9 @@
 			       .deadline_ms = CLI_DEADLINE_MS};
 	char program[64];
 	char parent[64];
-	uint8_t key[crypto_hash_sha256_BYTES];
+	uint8_t secret[crypto_hash_sha256_BYTES];
 	uint8_t hash[crypto_hash_sha256_BYTES];
+	uint64_t *key;
 	uint64_t id;
 
 	snprintf(program, sizeof(program), "%s/P%d%s",
@@ -152,7 +156,7 @@
 		fill_turn(prog, &request);
 	else
 		request.kind = APS__CALL_KIND__END;
-	set_hashes(prog, &request, key, hash);
+	set_hashes(prog, &request, secret, hash);
 	prog->calling = true;
 	prog->called_ms = w->now_ms;
 	prog->node = n->index;
@@ -168,6 +172,9 @@
 	if (!prog->calling)
 		return;
 	prog->call_id = id;
+	key = g_new(uint64_t, 1);
+	*key = id;
+	g_hash_table_insert(w->calls, key, prog);
 	wld_after(w, CLI_TIMEOUT_MS, on_timeout, prog);
 }
 
@@ -180,7 +187,7 @@
 		return;
 	if (prog->turn < prog->turns && (int)prog->bodies->len <= prog->turn)
 		prepare_turn(prog);
-	n = wld_pick_node(w);
+	n = prog->pinned > 0 ? &w->nodes[prog->pinned - 1] : wld_pick_node(w);
 	if (n == NULL) {
 		wld_after(w, RETRY_MS, on_call, prog);
 		return;
@@ -226,13 +233,10 @@
 
 static struct prog *find(struct wld_node *n, uint64_t call_id)
 {
-	for (guint i = 0; i < n->world->progs->len; i++) {
-		struct prog *prog = n->world->progs->pdata[i];
+	struct prog *prog = g_hash_table_lookup(n->world->calls, &call_id);
 
-		if (prog->calling && prog->call_id == call_id &&
-		    prog->node == n->index)
-			return prog;
-	}
+	if (prog != NULL && prog->calling && prog->call_id == call_id)
+		return prog;
 	/* The reply came before the call returned its id. */
 	return calling != NULL && calling->call_id == 0 &&
 			       calling->node == n->index
