The next turn's run is noted in the commit that records a turn

Cause: each model turn waited for two commits, one before it started and one before its last frame. The record of turn N now carries the started record of turn N+1, bounded by the history, a body of 2 KiB and the same output limit; a turn that fits starts at once. A shard that is passed on clears the notes in the same commit; only a crash makes the next owner count one as spent.

--- a/decide/member.c
+++ b/decide/member.c
@@ -456,6 +456,8 @@
 		g_hash_table_lookup(member->instances, to);
 	Aps__ShardRow row = APS__SHARD_ROW__INIT;
 
+	if (shd_kind(shard->index) == SHD_PROGRAM)
+		own_shard_settle(member->node->owner, shard->index);
 	row.holder = (char *)to;
 	row.incarnation = inst->row->incarnation;
 	row.epoch = shard->row->epoch + 1;
--- a/decide/owner.c
+++ b/decide/owner.c
@@ -13,7 +13,8 @@
 	OWN_RETRY_CREDIT_MAX = 10,
 	OWN_KEPT_MS = 30000, /* how long a transient answer is kept */
 	OWN_SWEEP_MS = 100,
-	OWN_PROMPT_SLACK = 16, /* tokens that a prompt's frame may take */
+	OWN_ESCROW_BODY = 2048, /* longest body that escrow covers, in bytes */
+	OWN_PROMPT_SLACK = 16,	/* tokens that a prompt's frame may take */
 };
 
 /* Retries that each turn earns, so that a tenth of the load is retries. */
@@ -300,7 +301,7 @@
 	nod_send(turn->owner->node, turn->dispatcher, &peer);
 }
 
-static void set_started(struct program *program, const struct turn *turn)
+void own_set_started(struct program *program, const struct turn *turn)
 {
 	Aps__Started *started = NULL;
 	uint8_t *buf;
@@ -327,6 +328,7 @@
 		g_free(buf);
 	}
 	program->started = started;
+	program->escrow = false;
 }
 
 /* Most tokens that a run of the turn can take. */
@@ -371,6 +373,39 @@
 	return true;
 }
 
+/* Whether the last commit already covers a run of this turn. */
+static bool covered(const struct turn *turn)
+{
+	const struct program *program = turn->program;
+	const Aps__Request *request = turn->request;
+
+	return program->escrow && program->started != NULL &&
+	       request->repeatable && request->kind == APS__CALL_KIND__MODEL &&
+	       turn->reserved <= program->started->reserved &&
+	       strcmp(program->started->target, request->target) == 0;
+}
+
+/*
+ * Notes the next run ahead of its turn, in the commit that records this one,
+ * so that the next turn need not wait for a commit before it starts.
+ */
+static void set_escrow(struct turn *turn)
+{
+	struct program *program = turn->program;
+	struct turn next = *turn;
+
+	own_set_started(program, NULL);
+	if (turn->request->kind != APS__CALL_KIND__MODEL)
+		return;
+	next.number = program->next_turn;
+	next.reserved = program->history_tokens + OWN_ESCROW_BODY +
+			turn->request->max_out + OWN_PROMPT_SLACK;
+	if (program->used + next.reserved > program->budget)
+		return;
+	own_set_started(program, &next);
+	program->escrow = true;
+}
+
 static void start(struct turn *turn)
 {
 	struct program *program = turn->program;
@@ -402,8 +437,14 @@
 		dispatch(turn);
 		return;
 	}
+	if (covered(turn)) {
+		program->escrow = false;
+		step(turn, TURN_BEGIN);
+		dispatch(turn);
+		return;
+	}
 	step(turn, TURN_ADMIT);
-	set_started(program, turn);
+	own_set_started(program, turn);
 	own_save(owner, program, turn);
 }
 
@@ -491,7 +532,7 @@
 			turn->request->body.len + outcome->answer.len;
 	}
 	prg_append(program, turn->request, outcome);
-	set_started(program, NULL);
+	set_escrow(turn);
 	step(turn, TURN_RECORD);
 	own_save(turn->owner, program, turn);
 	own_move_segment(turn->owner, program);
@@ -540,7 +581,7 @@
 	if (outcome->executed != APS__EXECUTED__NO &&
 	    !turn->request->repeatable)
 		prg_append(program, turn->request, outcome);
-	set_started(program, NULL);
+	own_set_started(program, NULL);
 	step(turn, TURN_RECORD);
 	own_save(turn->owner, program, turn);
 }
@@ -563,7 +604,7 @@
 	}
 	owner->retry_credit -= 1;
 	nod_count(owner->node, NOD_RETRIES, 1);
-	set_started(turn->program, NULL);
+	own_set_started(turn->program, NULL);
 	step(turn, TURN_RETRY);
 }
 
--- a/decide/owner.h
+++ b/decide/owner.h
@@ -19,6 +19,9 @@
 /** The shard is another's: its programs are forgotten. */
 void own_shard_stop(struct owner *owner, int shard);
 
+/** Writes that no run of the shard's programs is under way. */
+void own_shard_settle(struct owner *owner, int shard);
+
 /** Returns whether no turn, write or read of the shard is under way. */
 bool own_shard_idle(const struct owner *owner, int shard);
 
--- a/decide/owner_int.h
+++ b/decide/owner_int.h
@@ -79,6 +79,9 @@
 /** Writes the program's row; @p turn goes on when it is durable. */
 void own_save(struct owner *owner, struct program *program, struct turn *turn);
 
+/** Notes a run of @p turn in the program, or none if it is NULL. */
+void own_set_started(struct program *program, const struct turn *turn);
+
 /** Starts what may start in @p program. */
 void own_advance(struct owner *owner, struct program *program);
 
--- a/decide/owner_life.c
+++ b/decide/owner_life.c
@@ -109,6 +109,23 @@
 	return true;
 }
 
+/* Spares the next owner from counting what never ran as spent. */
+void own_shard_settle(struct owner *owner, int shard)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, owner->programs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct program *program = value;
+
+		if (program->shard != shard || !program->escrow)
+			continue;
+		own_set_started(program, NULL);
+		own_save(owner, program, NULL);
+	}
+}
+
 void own_shard_stop(struct owner *owner, int shard)
 {
 	GList *programs = g_hash_table_get_values(owner->programs);
@@ -267,7 +284,9 @@
 		send_moved(owner, from, msg, "the parent program has ended");
 		return;
 	}
-	reserved = program->started != NULL ? program->started->reserved : 0;
+	reserved = program->started != NULL && !program->escrow
+			   ? program->started->reserved
+			   : 0;
 	if (program->used + reserved + msg->amount > program->budget) {
 		send_moved(owner, from, msg,
 			   "the parent's budget is too small");
@@ -301,6 +320,8 @@
 	if (program->ended)
 		return;
 	program->ended = true;
+	if (program->escrow)
+		own_set_started(program, NULL);
 	program->ended_ms = nod_now(owner->node);
 	g_free(program->end_reason);
 	program->end_reason = g_strdup(reason);
--- a/decide/program.h
+++ b/decide/program.h
@@ -47,6 +47,7 @@
 	Aps__Started *started;	    /**< a run without a recorded outcome */
 	struct cds_list_head turns; /**< struct turn, by number */
 	int64_t move_due_ms; /**< of the next ask for a parent's budget */
+	bool escrow;	     /**< started is for a turn that has not come yet */
 	bool budgeted;	     /**< its budget is its own */
 	uint32_t pending;    /**< writes and reads that refer to it */
 	bool reading;	     /**< a segment is being read */
