Calls wait out a silence of the ledger instead of being refused

Ruled out: crediting the new bucket for the gap (the new holder cannot know when the old one last granted; only its 0.5 s margin is sure).

Change: the longest wait grows by the silence, at most 10 s, and shrinks back over a minute. The bucket is untouched, so rate and burst hold as before.

--- a/bench/load.c
+++ b/bench/load.c
@@ -16,6 +16,7 @@
 
 #include <sodium.h>
 
+#include "decide/member.h"
 #include "decide/pool.h"
 #include "test/sim/clients.h"
 
@@ -353,6 +354,21 @@
 	}
 }
 
+/* Kills the instance that holds the account's ledger. */
+static void kill_ledger(struct world *w)
+{
+	int shard = shd_of(SHD_LEDGER, w->accounts[0].name);
+
+	for (int i = 0; i < w->params.nodes; i++) {
+		const struct node *node = w->nodes[i].node;
+
+		if (node != NULL && mem_holds(node->member, shard)) {
+			wld_kill_node(w, i);
+			return;
+		}
+	}
+}
+
 static int rate(char **argv)
 {
 	struct wld_params p = wld_defaults();
@@ -374,15 +390,8 @@
 	wld_run_for(w, SETTLE_MS + 5000);
 	rate_calls(w, &rng, times, even, &reference, &divided);
 	wld_run_for(w, RATE_S * MS_PER_S / 2);
-	/* The instance whose death moves the account's ledger, by its id. */
-	if (strcmp(argv[4], "yes") == 0) {
-		for (int i = 0; i < RATE_NODES; i++) {
-			if (i % 2 == 0 || w->progs->len == 0)
-				continue;
-			wld_drain_node(w, i);
-			break;
-		}
-	}
+	if (strcmp(argv[4], "yes") == 0)
+		kill_ledger(w);
 	wld_run_for(w, RATE_S * MS_PER_S);
 	for (guint i = 0; i < w->progs->len; i++) {
 		const struct prog *prog = w->progs->pdata[i];
--- a/decide/fair.c
+++ b/decide/fair.c
@@ -7,6 +7,7 @@
 enum {
 	FAIR_RETURN_MS = 100, /* rest of a grant's life at which it returns */
 	FAIR_SHARE_DEFAULT = 1,
+	MS_PER_S = 1000,
 };
 
 static void account_free(void *p)
@@ -147,6 +148,27 @@
 	account->vtime += difference / share(fair, account);
 }
 
+/* What queued up while the ledger was silent is not over the rate. */
+static void note_gap(struct fair_account *account, int64_t now)
+{
+	int64_t gap = now - account->unanswered_ms;
+
+	if (account->unanswered_ms > 0 && gap > 2 * FAIR_ASK_TIMEOUT_MS) {
+		account->gap_ms = MIN(gap, FAIR_GAP_MAX_MS);
+		account->gap_end_ms = now;
+	}
+	account->unanswered_ms = 0;
+}
+
+/* How long calls over the rate may wait, in ms. */
+static double longest_wait(const struct fair_account *account, int64_t now)
+{
+	double left =
+		1 - (double)(now - account->gap_end_ms) / FAIR_GAP_DECAY_MS;
+
+	return FAIR_RATE_WAIT_MS + (double)account->gap_ms * fmax(left, 0);
+}
+
 void fair_on_grant(struct fair *fair, const Aps__Grant *msg)
 {
 	struct fair_account *account =
@@ -156,6 +178,7 @@
 
 	if (account == NULL || account->ask_id != msg->ask_id)
 		return;
+	note_gap(account, now);
 	account->ask_id = 0;
 	account->starved = msg->count == 0;
 	account->ask_due_ms = now + msg->wait_ms;
@@ -203,6 +226,8 @@
 	if (want > 0) {
 		account->ask_id = rng_next(&node->rng);
 		account->ask_ms = now;
+		if (account->unanswered_ms == 0)
+			account->unanswered_ms = now;
 	}
 	msg.account = account->name;
 	msg.pool = fair->pool;
@@ -259,6 +284,20 @@
 		account_tick(fair, value, slots);
 }
 
+static bool over_rate(const struct fair *fair,
+		      const struct fair_account *account)
+{
+	const struct rul_account *rule =
+		rul_account(fair->node->rules, account->name);
+	int64_t now = nod_now(fair->node);
+	double rate = rule != NULL ? rule->rate : 0;
+
+	return account->starved &&
+	       now < account->ask_due_ms + FAIR_ASK_TIMEOUT_MS &&
+	       account->queued >
+		       ceil(rate * longest_wait(account, now) / MS_PER_S);
+}
+
 struct job *fair_over_rate(struct fair *fair)
 {
 	GHashTableIter iter;
@@ -267,14 +306,8 @@
 	g_hash_table_iter_init(&iter, fair->accounts);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct fair_account *account = value;
-		const struct rul_account *rule =
-			rul_account(fair->node->rules, account->name);
-		double rate = rule != NULL ? rule->rate : 0;
-
-		if (account->starved &&
-		    nod_now(fair->node) <
-			    account->ask_due_ms + FAIR_ASK_TIMEOUT_MS &&
-		    account->queued > ceil(rate * FAIR_RATE_WAIT_MS / 1000))
+
+		if (over_rate(fair, account))
 			return cds_list_entry(account->jobs.prev, struct job,
 					      link);
 	}
--- a/decide/fair.h
+++ b/decide/fair.h
@@ -17,6 +17,11 @@
 enum {
 	/** Longest wait for a token of an account over its rate, in ms. */
 	FAIR_RATE_WAIT_MS = 2000,
+	/** Longest silence of a ledger that calls are kept waiting for, in ms.
+	 */
+	FAIR_GAP_MAX_MS = 10000,
+	/** Time over which the room for a silence's backlog shrinks, in ms. */
+	FAIR_GAP_DECAY_MS = 60000,
 	/** Time after which an unanswered ask is repeated, in ms. */
 	FAIR_ASK_TIMEOUT_MS = 250,
 };
@@ -61,12 +66,15 @@
 	char *name;
 	struct cds_list_head jobs; /**< struct job, first come first */
 	uint32_t queued;
-	double vtime;	    /**< served cost over share */
-	GArray *grants;	    /**< struct fair_grant */
-	uint64_t ask_id;    /**< of the ask under way, 0 if none */
-	int64_t ask_ms;	    /**< when it was sent */
-	int64_t ask_due_ms; /**< no ask before it */
-	bool starved;	    /**< the last ask got nothing */
+	double vtime;	       /**< served cost over share */
+	GArray *grants;	       /**< struct fair_grant */
+	uint64_t ask_id;       /**< of the ask under way, 0 if none */
+	int64_t ask_ms;	       /**< when it was sent */
+	int64_t ask_due_ms;    /**< no ask before it */
+	int64_t unanswered_ms; /**< first ask since the last answer, or 0 */
+	int64_t gap_ms;	       /**< how long the ledger was silent */
+	int64_t gap_end_ms;    /**< when it answered again */
+	bool starved;	       /**< the last ask got nothing */
 	bool report_due;
 };
 
--- a/test/sim/clients.c
+++ b/test/sim/clients.c
@@ -187,7 +187,9 @@
 		return;
 	if (prog->turn < prog->turns && (int)prog->bodies->len <= prog->turn)
 		prepare_turn(prog);
-	n = prog->pinned > 0 ? &w->nodes[prog->pinned - 1] : wld_pick_node(w);
+	n = prog->pinned > 0 ? &w->nodes[prog->pinned - 1] : NULL;
+	if (n == NULL || n->node == NULL || n->frozen)
+		n = wld_pick_node(w);
 	if (n == NULL) {
 		wld_after(w, RETRY_MS, on_call, prog);
 		return;
