Scenarios that catch each mutant, a fuzzer, slopes, a table outage

Cause: a mutant that let a new incarnation vouch, one that took a dead row for a success, and one that served turns in any order survived 25 scenarios and 150 random runs.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 CORE = $(call obj,$(DECIDE) $(PLATFORM))
 TESTS = $(patsubst test/unit/%.c,$(B)/unit/%,$(wildcard test/unit/test_*.c))
 
-all: $(B)/apricotshift $(B)/standin $(B)/scenario $(B)/load
+all: $(B)/apricotshift $(B)/standin $(B)/scenario $(B)/load $(B)/slopes
 
 $(B)/apricotshift: $(CORE) $(call obj,$(SERVE) $(APP))
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
@@ -35,6 +35,9 @@
 $(B)/load: $(CORE) $(call obj,$(SIM) test/standins/model.c bench/load.c)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
+$(B)/slopes: $(CORE) $(call obj,$(SIM) test/standins/model.c bench/slopes.c)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
 $(B)/unit/%: $(CORE) $(B)/obj/test/unit/%.o $(call obj,$(filter-out serve/http.c serve/loop.c serve/outbound.c,$(SERVE)))
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
@@ -47,6 +50,18 @@
 
 unit: $(TESTS)
 
+# The parsers under a fuzzer, and again over what it found.
+FUZZED = decide/rules.c proto/apricot.pb-c.c serve/http_parse.c serve/log.c \
+	serve/peer.c serve/settings.c serve/sse.c test/fuzz/fuzz.c
+fuzz:
+	mkdir -p build
+	clang -g -O1 $(filter-out -fsanitize=%,$(CFLAGS)) \
+		-fsanitize=fuzzer,address,undefined -o build/fuzz $(FUZZED) $(LDLIBS)
+
+$(B)/replay: $(FUZZED)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -DREPLAY $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
 generate:
 	cd proto && protoc-c --c_out=. apricot.proto
 
@@ -61,4 +76,5 @@
 check:
 	./test/run.sh
 
-.PHONY: all unit demo check clean generate
+unit: $(B)/replay
+.PHONY: fuzz all unit demo check clean generate
--- a/bench/load.c
+++ b/bench/load.c
@@ -6,8 +6,9 @@
  *        load rate TIMES SPREAD TAKEOVER
  *
  * PROFILE is macharia or zuiderhaven; LOAD a percentage of what the engines
- * bear when warm; POLICY fair, random or least; EVENT none, zone, cold or
- * flood; SPREAD even or uneven; TAKEOVER yes or no. One JSON object a line.
+ * bear when warm; POLICY fair, random or least; EVENT none, zone, cold,
+ * flood, outage (30 s) or outage600; SPREAD even or uneven; TAKEOVER yes or no.
+ * One JSON object a line.
  */
 #include <math.h>
 #include <stdio.h>
@@ -32,6 +33,7 @@
 	DRAIN_MS = 300000,
 	EVENT_MS = 30000, /* after the warm-up */
 	EVENT_LONG_MS = 30000,
+	OUTAGE_REST_MS = 570000, /* of an outage of ten minutes */
 	FLOOD = 5, /* times its rate that the flooding account sends */
 };
 
@@ -172,6 +174,21 @@
 	wld_apply(w);
 }
 
+static uint64_t count(const struct world *w, enum nod_counter counter);
+
+/* What callers got while the table was out, and how soon after it. */
+static void print_outage(struct world *w)
+{
+	uint64_t before = count(w, NOD_TURNS_COMMITTED);
+	int64_t back = w->now_ms;
+
+	w->outage = false;
+	while (count(w, NOD_TURNS_COMMITTED) == before)
+		wld_run_for(w, 100);
+	fprintf(stderr, "first turn committed %d ms after the table is back\n",
+		(int)(w->now_ms - back));
+}
+
 static void run_event(struct world *w, const char *event, double seconds)
 {
 	wld_run_for(w, WARM_MS + EVENT_MS);
@@ -180,7 +197,13 @@
 	for (int i = 0; strcmp(event, "cold") == 0 && i < w->params.engines / 2;
 	     i++)
 		bke_crash(w, i);
+	w->outage = strncmp(event, "outage", strlen("outage")) == 0;
 	wld_run_for(w, EVENT_LONG_MS);
+	if (strcmp(event, "outage600") == 0)
+		wld_run_for(w, OUTAGE_REST_MS);
+	if (w->outage)
+		print_outage(w);
+	w->outage = false;
 	if (strcmp(event, "zone") == 0)
 		set_zone(w, "a", false);
 	wld_run_for(w,
--- /dev/null
+++ b/bench/slopes.c
@@ -0,0 +1,231 @@
+/**
+ * @file slopes.c
+ * @brief Cost of each role against its size, for docs/CAPACITY.md.
+ *
+ * Usage: slopes. Prints one JSON object a line; times are processor time.
+ */
+#include <malloc.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include <sodium.h>
+
+#include "decide/config.h"
+#include "decide/ledger.h"
+#include "decide/member.h"
+#include "decide/program.h"
+#include "test/sim/clients.h"
+
+enum {
+	SETTLE_MS = 20000,
+	IDLE_S = 30,
+	MS_PER_S = 1000,
+};
+
+static double cpu_s(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+	return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
+}
+
+static size_t heap(void)
+{
+	return mallinfo2().uordblks;
+}
+
+static uint64_t count(const struct world *w, enum nod_counter counter)
+{
+	uint64_t sum = 0;
+
+	for (int i = 0; i < w->params.nodes; i++)
+		sum += nod_counter(w->nodes[i].node, counter);
+	return sum;
+}
+
+/* Instances that have nothing to do. */
+static void idle_instances(int nodes)
+{
+	struct wld_params p = wld_defaults();
+	size_t before = heap();
+	struct world *w;
+	uint64_t reads;
+	uint64_t writes;
+	uint64_t bytes;
+	double cpu;
+	double per = (double)nodes * IDLE_S;
+
+	p.nodes = nodes;
+	w = wld_create(&p);
+	wld_run_for(w, SETTLE_MS);
+	reads = w->table_reads;
+	writes = w->table_writes;
+	bytes = count(w, NOD_PEER_BYTES);
+	cpu = cpu_s();
+	wld_run_for(w, (int64_t)IDLE_S * MS_PER_S);
+	printf("{\"size\":\"instances\",\"n\":%d,\"cpu_percent\":%.3f,"
+	       "\"reads_s\":%.2f,\"writes_s\":%.2f,\"peer_bytes_s\":%.0f,"
+	       "\"row_bytes_s\":%.0f,\"heap_kb\":%.0f}\n",
+	       nodes, 100 * (cpu_s() - cpu) / per,
+	       (double)(w->table_reads - reads) / per,
+	       (double)(w->table_writes - writes) / per,
+	       (double)(count(w, NOD_PEER_BYTES) - bytes) / per,
+	       (double)w->poll_bytes / ((IDLE_S + SETTLE_MS / 1000.0) * nodes),
+	       (double)(heap() - before) / 1024 / nodes);
+	wld_destroy(w);
+}
+
+/* Programs that one owner holds, each with a history of four turns. */
+static void held_programs(int programs)
+{
+	struct wld_params p = wld_defaults();
+	struct world *w;
+	size_t before;
+	double cpu;
+
+	p.nodes = 1;
+	p.engines = 30;
+	p.max = 64;
+	p.rate = 1e6;
+	p.burst = 1e6;
+	w = wld_create(&p);
+	wld_run_for(w, SETTLE_MS);
+	before = heap();
+	for (int i = 0; i < programs; i++) {
+		struct prog *prog = cli_add(w, i % p.accounts, 4);
+
+		prog->keep = true;
+		prog->out_tokens = 8;
+		prog->pause_ms = 0;
+		cli_start(prog, i * 2.0);
+	}
+	while (!cli_all_finished(w))
+		wld_run_for(w, 1000);
+	wld_run_for(w, SETTLE_MS * 4);
+	cpu = cpu_s();
+	wld_run_for(w, (int64_t)IDLE_S * MS_PER_S);
+	printf("{\"size\":\"programs held\",\"n\":%d,\"cpu_percent\":%.3f,"
+	       "\"heap_bytes_each\":%.0f}\n",
+	       programs, 100 * (cpu_s() - cpu) / IDLE_S,
+	       (double)(heap() - before) / programs);
+	wld_destroy(w);
+}
+
+/* Turns a second through the whole path. */
+static void turns(int programs)
+{
+	struct wld_params p = wld_defaults();
+	struct world *w;
+	uint64_t done;
+	uint64_t bytes;
+	uint64_t messages;
+	double idle;
+	double cpu;
+
+	p.nodes = 4;
+	p.engines = 30;
+	p.max = 64;
+	p.rate = 1e6;
+	p.burst = 1e6;
+	w = wld_create(&p);
+	wld_run_for(w, SETTLE_MS);
+	cpu = cpu_s();
+	wld_run_for(w, SETTLE_MS);
+	idle = cpu_s() - cpu;
+	for (int i = 0; i < programs; i++) {
+		struct prog *prog = cli_add(w, i % p.accounts, 1000000);
+
+		prog->out_tokens = 40;
+		prog->pause_ms = 200;
+		prog->one_shot = false;
+		cli_start(prog, i);
+	}
+	wld_run_for(w, 3000);
+	done = count(w, NOD_TURNS_COMMITTED);
+	bytes = count(w, NOD_PEER_BYTES);
+	messages = count(w, NOD_PEER_MESSAGES);
+	cpu = cpu_s();
+	wld_run_for(w, SETTLE_MS);
+	done = count(w, NOD_TURNS_COMMITTED) - done;
+	printf("{\"size\":\"programs running\",\"n\":%d,\"turns_s\":%.0f,"
+	       "\"cpu_us_a_turn\":%.0f,\"peer_bytes_a_turn\":%.0f,"
+	       "\"messages_a_turn\":%.1f}\n",
+	       programs, (double)done * MS_PER_S / SETTLE_MS,
+	       1e6 * (cpu_s() - cpu - idle) / (double)done,
+	       (double)(count(w, NOD_PEER_BYTES) - bytes) / (double)done,
+	       (double)(count(w, NOD_PEER_MESSAGES) - messages) / (double)done);
+	wld_destroy(w);
+}
+
+static char *rules_of(int accounts)
+{
+	GString *text =
+		g_string_new("model m pool p # a: b\n"
+			     "server k pool p zone z addr h:1 # a: b\n");
+
+	for (int i = 0; i < accounts; i++)
+		g_string_append_printf(
+			text,
+			"account acct%d rate 5 burst 10 share 2 # Achieng: "
+			"contract 2026-%d\nkey %064x account acct%d # Otieno: "
+			"first key\n",
+			i, i, i, i);
+	return g_string_free(text, FALSE);
+}
+
+/* Client accounts, one key each. */
+static void accounts(int n)
+{
+	enum { LOOKUPS = 20000, PARSES = 5 };
+	char *text = rules_of(n);
+	GString *errors = g_string_new(NULL);
+	struct rules *rules = NULL;
+	size_t before = heap();
+	size_t used;
+	uint8_t key[RUL_HASH_BYTES] = {0};
+	double parse = cpu_s();
+	double lookup;
+	long found = 0;
+
+	for (int i = 0; i < PARSES; i++) {
+		rul_destroy(rules);
+		rules = rul_parse(text, 1, "r", errors);
+	}
+	parse = (cpu_s() - parse) / PARSES;
+	used = heap() - before;
+	lookup = cpu_s();
+	for (int i = 0; i < LOOKUPS; i++) {
+		key[RUL_HASH_BYTES - 1] = (uint8_t)i;
+		found += rul_key(rules, key) != NULL;
+	}
+	lookup = (cpu_s() - lookup) / LOOKUPS;
+	printf("{\"size\":\"accounts\",\"n\":%d,\"rules_bytes\":%zu,"
+	       "\"parse_ms\":%.2f,\"key_lookup_us\":%.2f,\"heap_kb\":%zu,"
+	       "\"found\":%ld}\n",
+	       n, strlen(text), parse * 1e3, lookup * 1e6, used / 1024, found);
+	rul_destroy(rules);
+	g_string_free(errors, TRUE);
+	g_free(text);
+}
+
+int main(void)
+{
+	static const int instances_n[] = {8, 16, 32, 64};
+	static const int programs_n[] = {100, 400, 1600, 6400};
+	static const int running_n[] = {20, 80, 160, 320};
+	static const int accounts_n[] = {10, 100, 300, 600};
+
+	if (sodium_init() < 0)
+		return 1;
+	for (size_t i = 0; i < G_N_ELEMENTS(instances_n); i++)
+		idle_instances(instances_n[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(programs_n); i++)
+		held_programs(programs_n[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(running_n); i++)
+		turns(running_n[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(accounts_n); i++)
+		accounts(accounts_n[i]);
+	return 0;
+}
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -12,14 +12,23 @@
 	rm -rf "$tmp/tree"
 	mkdir "$tmp/tree"
 	cp -r Makefile charts decide platform proto test "$tmp/tree"
-	mkdir -p "$tmp/tree/serve" "$tmp/tree/apricotshift" "$tmp/tree/bench"
+	cp -r serve "$tmp/tree"
+	mkdir -p "$tmp/tree/apricotshift" "$tmp/tree/bench"
 	perl -0pi -e "$3" "$tmp/tree/$2"
+	case $1 in *"fresh rules") perl -0pi -e \
+		's/return nod_now\(member->node\) - member->poll_good_ms < MEM_STALE_MS;/return true;/' \
+		"$tmp/tree/decide/member.c" ;; esac
 	if cmp -s "$2" "$tmp/tree/$2"; then echo "$1: NOT APPLIED"; return; fi
-	make -s -j"$(nproc)" -C "$tmp/tree" CFLAGS=-O1 build/scenario \
+	CFLAGS=-O1 make -s -j4 -C "$tmp/tree" build/scenario \
 		>"$tmp/make" 2>&1 || { echo "$1: DOES NOT BUILD"; return; }
 	(cd "$tmp/tree" && timeout 120 build/scenario test/scenarios/*.scn
 		timeout 200 build/scenario -n "$runs" -s 1) >"$tmp/out" 2>&1 || true
-	found=$(sed -n 's/^[0-9]* ms: \([a-z ]*\): .*/\1/p' "$tmp/out" |
+	if [ "$2" = decide/ledger.c ]; then
+		CFLAGS=-O1 make -s -C "$tmp/tree" build/unit/test_ledger
+		"$tmp/tree/build/unit/test_ledger" >"$tmp/unit" 2>&1 ||
+			echo "0 ms: test_ledger: failed" >>"$tmp/out"
+	fi
+	found=$(sed -n 's/^[0-9]* ms: \([a-z_ ]*\): .*/\1/p' "$tmp/out" |
 		sort | uniq -c | sort -rn | head -4 |
 		awk '{n=$1; $1=""; printf "%s (%d)", $0, n}')
 	echo "$1:${found:- SURVIVED}"
@@ -33,7 +42,7 @@
 	's/\(self->state != APS__INSTANCE_STATE__DEAD \|\|/(1 ||/'
 try "last frame before the commit" decide/owner.c \
 	's/step\(turn, TURN_RECORD\);\n\town_save\(turn->owner, program, turn\);\n\town_move/step(turn, TURN_RECORD);\n\tanswer(turn);\n\town_save(turn->owner, program, turn);\n\town_move/'
-try "no lease check" decide/commit.c \
+try "no lease check, nor a check for fresh rules" decide/commit.c \
 	's/return !commit->node->fenced &&\s*nod_now\(commit->node\) \+ CMT_GUARD_MS < commit->lease_until_ms;/return commit->lease_until_ms > 0;/'
 try "a new incarnation vouches" decide/owner.c \
 	's/ \|\|\s*turn->dispatcher_incarnation != incarnation\)/ || incarnation == 0)/'
--- a/test/run.sh
+++ b/test/run.sh
@@ -28,7 +28,8 @@
 for page in man/*; do mandoc -T lint -W warning "$page"; done
 
 step "unit tests, with sanitizers"
-for t in build-san/unit/test_*; do "$t"; done
+for t in build-san/unit/test_*[a-z]; do "$t"; done
+build-san/replay test/fuzz/corpus/*
 
 step "scenarios, with sanitizers"
 build-san/scenario test/scenarios/*.scn
--- a/test/sim/clients.c
+++ b/test/sim/clients.c
@@ -129,6 +129,33 @@
 static void give_up(struct prog *prog);
 static void on_call(struct world *w, void *arg);
 
+/* A copy of the next turn that overtakes this one; nobody waits for it. */
+static void call_early(struct prog *prog)
+{
+	struct wld_node *n = wld_pick_node(prog->world);
+	Aps__Request request = APS__REQUEST__INIT;
+	struct nod_call msg = {.request = &request,
+			       .deadline_ms = CLI_DEADLINE_MS};
+	uint8_t secret[crypto_hash_sha256_BYTES];
+	uint8_t hash[crypto_hash_sha256_BYTES];
+	char program[64];
+
+	if (n == NULL || prog->turn == 0 || prog->turn + 1 >= prog->turns ||
+	    prog->tool_percent > 0)
+		return;
+	prog->turn++;
+	if ((int)prog->bodies->len <= prog->turn)
+		prepare_turn(prog);
+	snprintf(program, sizeof(program), "%s/P%d",
+		 prog->world->accounts[prog->account].name, prog->index);
+	request.program = program;
+	request.account = prog->world->accounts[prog->account].name;
+	fill_turn(prog, &request);
+	set_hashes(prog, &request, secret, hash);
+	(void)nod_call(n->node, &msg);
+	prog->turn--;
+}
+
 static void call(struct prog *prog, struct wld_node *n)
 {
 	struct world *w = prog->world;
@@ -157,6 +184,8 @@
 	else
 		request.kind = APS__CALL_KIND__END;
 	set_hashes(prog, &request, secret, hash);
+	if (prog->early)
+		call_early(prog);
 	prog->calling = true;
 	prog->called_ms = w->now_ms;
 	prog->node = n->index;
--- a/test/sim/clients.h
+++ b/test/sim/clients.h
@@ -33,6 +33,7 @@
 	uint64_t budget;
 	int parent;	    /**< index of the parent program, or -1 */
 	bool one_shot;	    /**< keeps no history: no program id */
+	bool early;	    /**< sends each turn ahead of its time as well */
 	bool keep;	    /**< is not ended by its caller */
 	const char *poison; /**< word that the first body carries, or NULL */
 	/* What happened. */
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -18,7 +18,7 @@
 #include "test/standins/model.h"
 
 enum {
-	WLD_NODES_MAX = 16,
+	WLD_NODES_MAX = 64,
 	WLD_SERVERS_MAX = 32,
 	WLD_ACCOUNTS_MAX = 16,
 };
@@ -128,7 +128,8 @@
 	uint64_t wasted_tokens; /**< prefilled although cached elsewhere */
 	uint64_t table_writes;
 	uint64_t table_reads;
-	GString *faults; /**< one line for each broken invariant */
+	uint64_t poll_bytes; /**< of replies to reads */
+	GString *faults;     /**< one line for each broken invariant */
 	bool verbose;
 };
 
