A leaving instance takes calls for 5 s more; outcomes name their rule

Cause: a balancer learns late that an instance leaves, and its callers were refused meanwhile. The hint from the platform's instance list was never called: the row says 'leaving' already, so the list is not consulted at all.

--- a/bench/load.c
+++ b/bench/load.c
@@ -7,8 +7,8 @@
  *
  * PROFILE is macharia or zuiderhaven; LOAD a percentage of what the engines
  * bear when warm; POLICY fair, random or least; EVENT none, zone, cold,
- * flood, outage (30 s) or outage600; SPREAD even or uneven; TAKEOVER yes or no.
- * One JSON object a line.
+ * flood, kill, roll, outage (30 s) or outage600; SPREAD even or uneven;
+ * TAKEOVER yes or no. One JSON object a line.
  */
 #include <math.h>
 #include <stdio.h>
@@ -189,11 +189,25 @@
 		(int)(w->now_ms - back));
 }
 
+/* Replaces a quarter of the instances, one after the other. */
+static void roll(struct world *w)
+{
+	for (int i = 0; i < w->params.nodes / 4; i++) {
+		wld_drain_node(w, i);
+		wld_run_for(w, EVENT_LONG_MS);
+		wld_start_node(w, i);
+	}
+}
+
 static void run_event(struct world *w, const char *event, double seconds)
 {
 	wld_run_for(w, WARM_MS + EVENT_MS);
 	if (strcmp(event, "zone") == 0)
 		set_zone(w, "a", true);
+	if (strcmp(event, "roll") == 0)
+		roll(w);
+	if (strcmp(event, "kill") == 0)
+		wld_kill_node(w, 0);
 	for (int i = 0; strcmp(event, "cold") == 0 && i < w->params.engines / 2;
 	     i++)
 		bke_crash(w, i);
@@ -263,7 +277,8 @@
 	       "\"median_account\":%.2f,\"fresh_tokens\":%llu,"
 	       "\"wasted_tokens\":%llu,\"overloads\":%u,\"refused\":%llu,"
 	       "\"turns\":%llu,\"commits\":%llu,\"writes_s\":%.1f,"
-	       "\"reads_s\":%.1f,\"peer_bytes\":%llu}\n",
+	       "\"reads_s\":%.1f,\"peer_bytes\":%llu,\"first_p95_ms\":%.0f,"
+	       "\"shards_taken\":%llu}\n",
 	       argv[2], argv[3], argv[4], argv[5], r->latency->len, r->failed,
 	       quantile(r->latency, .5), quantile(r->latency, .95),
 	       quantile(r->latency, .99), quantile(r->slowdown, .5),
@@ -275,7 +290,9 @@
 	       (unsigned long long)count(w, NOD_COMMITS),
 	       (double)w->table_writes / (seconds + WARM_MS / MS_PER_S),
 	       (double)w->table_reads / (seconds + WARM_MS / MS_PER_S),
-	       (unsigned long long)count(w, NOD_PEER_BYTES));
+	       (unsigned long long)count(w, NOD_PEER_BYTES),
+	       quantile(w->first_ms, .95),
+	       (unsigned long long)count(w, NOD_SHARDS_TAKEN));
 }
 
 static int policy_of(const char *name)
--- a/decide/entry.c
+++ b/decide/entry.c
@@ -95,7 +95,7 @@
 	ecall->streamed = g_byte_array_new();
 	g_hash_table_insert(entry->calls, &ecall->id, ecall);
 	nod_count(node, NOD_CALLS, 1);
-	if (node->draining)
+	if (nod_closed(node))
 		fail(entry, ecall, 503, "instance is leaving");
 	else if (node->rules == NULL)
 		fail(entry, ecall, 503, "no rules yet");
--- a/decide/member.c
+++ b/decide/member.c
@@ -15,7 +15,6 @@
 	MEM_SETTLE_MS = 1000, /* age at which a new instance gets shards */
 	MEM_MOVES_MAX = 32,   /* handovers under way at once */
 	MEM_GRACE_MS = 3000,  /* new turns are taken this long while handing */
-	MEM_HINT_MS = 30000,  /* life of a hint that an instance leaves */
 	MEM_KEY_MAX = 128,
 	MEM_ALONE_MS = 3000,  /* time for a successor to show, while leaving */
 	MEM_POLL_GAP_MS = 50, /* least time between two polls */
@@ -37,7 +36,6 @@
 	uint64_t version;
 	int64_t changed_ms; /* when this version was first seen */
 	int64_t born_ms;    /* when this incarnation was first seen */
-	int64_t hint_ms;    /* when it was last named as leaving */
 };
 
 struct shard {
@@ -109,7 +107,6 @@
 	if (inst != NULL)
 		return inst;
 	inst = g_new0(struct instance, 1);
-	inst->hint_ms = INT64_MIN / 2;
 	g_hash_table_insert(member->instances, g_strdup(id), inst);
 	return inst;
 }
@@ -293,8 +290,6 @@
 {
 	if (inst->row == NULL || inst->row->state != APS__INSTANCE_STATE__LIVE)
 		return false;
-	if (nod_now(member->node) - inst->hint_ms < MEM_HINT_MS)
-		return false;
 	return !lapsed(member, inst->changed_ms);
 }
 
@@ -618,8 +613,3 @@
 {
 	return nod_now(member->node) - member->poll_good_ms < MEM_STALE_MS;
 }
-
-void mem_leaving_hint(struct member *member, const char *id)
-{
-	instance_get(member, id)->hint_ms = nod_now(member->node);
-}
--- a/decide/member.h
+++ b/decide/member.h
@@ -54,7 +54,4 @@
 /** Returns whether the last good poll is recent enough to trust the rules. */
 bool mem_fresh(const struct member *member);
 
-/** Takes note that an instance is about to leave. */
-void mem_leaving_hint(struct member *member, const char *id);
-
 #endif
--- a/decide/node.c
+++ b/decide/node.c
@@ -181,6 +181,14 @@
 	return copy;
 }
 
+void nod_rule_name(const struct node *node, int line, char *buf)
+{
+	buf[0] = '\0';
+	if (line > 0 && node->rules != NULL)
+		g_snprintf(buf, NOD_RULE_MAX, "%" PRIu64 ":%d",
+			   node->rules->revision, line);
+}
+
 static void bytes_free(void *p)
 {
 	g_bytes_unref(p);
@@ -415,8 +423,8 @@
 
 static bool idle(const struct node *node)
 {
-	return mem_held(node->member) == 0 && ent_calls(node->entry) == 0 &&
-	       pol_runs(node->pools) == 0;
+	return nod_closed(node) && mem_held(node->member) == 0 &&
+	       ent_calls(node->entry) == 0 && pol_runs(node->pools) == 0;
 }
 
 void nod_tick(struct node *node)
@@ -529,11 +537,6 @@
 	settle(node);
 }
 
-void nod_on_leaving_hint(struct node *node, const char *id)
-{
-	mem_leaving_hint(node->member, id);
-}
-
 void nod_drain(struct node *node)
 {
 	if (node->draining)
--- a/decide/node.h
+++ b/decide/node.h
@@ -193,9 +193,6 @@
 void nod_on_probe(struct node *node, uint64_t cookie,
 		  const struct nod_load *load);
 
-/** The platform's list names an instance as leaving: only a hint. */
-void nod_on_leaving_hint(struct node *node, const char *id);
-
 /** Starts a graceful shutdown. */
 void nod_drain(struct node *node);
 
--- a/decide/node_int.h
+++ b/decide/node_int.h
@@ -35,6 +35,13 @@
 /** Receives a load report, or NULL if the server gave none. */
 typedef void (*nod_probe_fn)(void *arg, const struct nod_load *load);
 
+enum {
+	/** Time for which a leaving instance takes new calls, in ms. */
+	NOD_GRACE_MS = 5000,
+	/** Room for the name of a rule, in bytes. */
+	NOD_RULE_MAX = 40,
+};
+
 /** A node and its modules. */
 struct node {
 	char *id;
@@ -85,6 +92,15 @@
 	return ++node->last_id;
 }
 
+/**
+ * Returns whether no more calls are taken: a leaving instance takes them for
+ * a while, since balancers learn of it late.
+ */
+static inline bool nod_closed(const struct node *node)
+{
+	return node->draining && nod_now(node) - node->drain_ms > NOD_GRACE_MS;
+}
+
 /** Logs a change of state. */
 void nod_log(struct node *node, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
 
@@ -119,6 +135,9 @@
 /** Returns a copy of @p outcome; aps__outcome__free_unpacked() it. */
 Aps__Outcome *nod_outcome_dup(const Aps__Outcome *outcome);
 
+/** Writes "REVISION:LINE" into @p buf, or nothing if @p line is 0. */
+void nod_rule_name(const struct node *node, int line, char *buf);
+
 /** Wraps a string for a message; it is not copied. */
 static inline ProtobufCBinaryData nod_bytes(const void *buf, size_t len)
 {
--- a/decide/owner.c
+++ b/decide/owner.c
@@ -157,17 +157,26 @@
 		turn_free(turn);
 }
 
-void own_refuse(struct turn *turn, uint32_t status, const char *reason)
+static void refuse_by(struct turn *turn, int line, uint32_t status,
+		      const char *reason)
 {
+	char rule[NOD_RULE_MAX];
 	Aps__Outcome outcome;
 
 	if (!step(turn, TURN_REFUSE))
 		return;
 	fill(&outcome, turn, status, reason);
+	nod_rule_name(turn->owner->node, line, rule);
+	outcome.rule = rule;
 	set_outcome(turn, &outcome);
 	finish(turn);
 }
 
+void own_refuse(struct turn *turn, uint32_t status, const char *reason)
+{
+	refuse_by(turn, 0, status, reason);
+}
+
 struct turn *own_active(const struct program *program)
 {
 	struct turn *turn;
@@ -420,13 +429,15 @@
 	if (program->next_turn >= owner->node->rules->turns_max) {
 		own_end(owner, program, "turn limit");
 		own_save(owner, program, NULL);
-		own_refuse(turn, 409, "the program reached its turn limit");
+		refuse_by(turn, owner->node->rules->limit_line, 409,
+			  "the program reached its turn limit");
 		return;
 	}
 	turn->reserved = upper_bound(turn);
 	if (!program->transient &&
 	    program->used + turn->reserved > program->budget) {
-		own_refuse(turn, 402, "the program's budget is too small");
+		refuse_by(turn, owner->node->rules->limit_line, 402,
+			  "the program's budget is too small");
 		return;
 	}
 	turn->attempts++;
--- a/decide/pool.c
+++ b/decide/pool.c
@@ -241,11 +241,9 @@
 {
 	struct node *node = pools->node;
 	Aps__Outcome outcome = APS__OUTCOME__INIT;
-	char rule[64] = "";
+	char rule[NOD_RULE_MAX];
 
-	if (line > 0 && node->rules != NULL)
-		g_snprintf(rule, sizeof(rule), "%" PRIu64 ":%d",
-			   node->rules->revision, line);
+	nod_rule_name(node, line, rule);
 	outcome.status = status;
 	outcome.executed = APS__EXECUTED__NO;
 	outcome.step = (char *)"dispatch";
@@ -629,6 +627,7 @@
 	struct job *job = g_hash_table_lookup(pools->runs, &run_id);
 	Aps__Outcome outcome = APS__OUTCOME__INIT;
 	struct server *server;
+	char rule[NOD_RULE_MAX];
 
 	if (job == NULL)
 		return;
@@ -638,6 +637,8 @@
 		srv_ended(server, job->solo, job->first_ms > 0);
 		srv_see_incarnation(server, result->incarnation);
 	}
+	nod_rule_name(pools->node, server != NULL ? server->line : 0, rule);
+	outcome.rule = rule;
 	outcome.step = (char *)"run";
 	outcome.peer = job->server;
 	outcome.server = job->server;
--- a/decide/rules.c
+++ b/decide/rules.c
@@ -218,6 +218,7 @@
 
 	if (strcmp(line->word[1], "programs") != 0)
 		fault(line, "unknown limit %s", line->word[1]);
+	rules->limit_line = line->number;
 	rules->turns_max =
 		(uint32_t)field_number(line, "turns", 1, RUL_TURNS_DEFAULT);
 	rules->idle_s =
--- a/decide/rules.h
+++ b/decide/rules.h
@@ -69,6 +69,7 @@
 	GPtrArray *keys;     /**< struct rul_key */
 	GPtrArray *targets;  /**< struct rul_target */
 	GPtrArray *servers;  /**< struct rul_server */
+	int limit_line;	     /**< line of the limits, 0 if they are preset */
 	uint32_t turns_max;  /**< most turns of a program */
 	uint32_t idle_s; /**< seconds without a call before a program ends */
 	uint64_t budget; /**< tokens of a program that names no budget */
--- a/serve/http.c
+++ b/serve/http.c
@@ -177,8 +177,10 @@
 			"data: {\"object\":\"chat.completion.chunk\","
 			"\"choices\":[{\"index\":0,\"delta\":{},"
 			"\"finish_reason\":\"stop\"}],\"usage\":"
-			"{\"prompt_tokens\":%u,\"completion_tokens\":%u}}\n\n",
-			outcome->prompt_tokens, outcome->out_tokens);
+			"{\"prompt_tokens\":%u,\"completion_tokens\":%u},"
+			"\"server\":\"%s\",\"rule\":\"%s\"}\n\n",
+			outcome->prompt_tokens, outcome->out_tokens,
+			outcome->server, outcome->rule);
 		chunk(x, text);
 		g_free(text);
 		chunk(x, "data: [DONE]\n\n");
@@ -201,9 +203,9 @@
 		"{\"object\":\"chat.completion\",\"choices\":[{\"index\":0,"
 		"\"message\":{\"role\":\"assistant\",\"content\":%s},"
 		"\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":%u,"
-		"\"completion_tokens\":%u},\"server\":\"%s\"}",
+		"\"completion_tokens\":%u},\"server\":\"%s\",\"rule\":\"%s\"}",
 		text, outcome->prompt_tokens, outcome->out_tokens,
-		outcome->server);
+		outcome->server, outcome->rule);
 	send_text(x->http, x->conn, 200, "application/json", "", body);
 	g_free(body);
 	g_free(text);
@@ -338,7 +340,7 @@
 	size_t len = 0;
 	char *body;
 
-	if (http->loop == NULL || loop_draining(http->loop)) {
+	if (http->loop == NULL) {
 		refuse(http, conn, 503, "instance is not serving");
 		return 503;
 	}
--- a/test/sim/clients.c
+++ b/test/sim/clients.c
@@ -26,12 +26,14 @@
 void cli_create(struct world *w)
 {
 	w->progs = g_ptr_array_new_with_free_func(prog_free);
+	w->first_ms = g_array_new(FALSE, FALSE, sizeof(double));
 	w->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					 NULL);
 }
 
 void cli_destroy(struct world *w)
 {
+	g_array_unref(w->first_ms);
 	g_hash_table_unref(w->calls);
 	g_ptr_array_unref(w->progs);
 }
@@ -280,6 +282,11 @@
 {
 	struct prog *prog = find(n, call_id);
 
+	if (prog != NULL && prog->streamed->len == 0) {
+		double first = (double)(n->world->now_ms - prog->turn_ms);
+
+		g_array_append_val(n->world->first_ms, first);
+	}
 	if (prog != NULL)
 		g_byte_array_append(prog->streamed, buf, (guint)len);
 }
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -121,9 +121,10 @@
 	int64_t revision_ms;
 	uint64_t head_version;
 	int64_t last_arrival[WLD_NODES_MAX][WLD_NODES_MAX];
-	GPtrArray *runs;	/**< struct wld_run, by start */
-	GPtrArray *progs;	/**< struct prog */
-	GHashTable *calls;	/**< call id to struct prog */
+	GPtrArray *runs;   /**< struct wld_run, by start */
+	GPtrArray *progs;  /**< struct prog */
+	GArray *first_ms;  /**< double: time to the first part of each turn */
+	GHashTable *calls; /**< call id to struct prog */
 	uint64_t fresh_tokens;	/**< prefilled */
 	uint64_t wasted_tokens; /**< prefilled although cached elsewhere */
 	uint64_t table_writes;
