--- a/test/fuzz/fuzz.c
+++ b/test/fuzz/fuzz.c
@@ -56,7 +56,7 @@
 /* Headers and body are separated by newlines: program, turn, body. */
 static void fuzz_call(char *text)
 {
-	struct htp_input input = { .service = "s" };
+	struct htp_input input = {.service = "s"};
 	char *save = NULL;
 	const char *reason;
 	uint32_t status;
