--- a/test/standins/main.c
+++ b/test/standins/main.c
@@ -14,6 +14,7 @@
 #include <civetweb.h>
 #include <json-c/json.h>
 
+#include "platform/tableclient.h"
 #include "platform/tableserver.h"
 #include "test/standins/caller.h"
 #include "test/standins/model.h"
@@ -259,11 +260,25 @@
 
 static void usage(void) __attribute__((noreturn));
 
+static int get(const char *url)
+{
+	GString *errors = g_string_new(NULL);
+	char *text = tcl_fetch(url, errors);
+	int failed = text == NULL;
+
+	printf("%s", failed ? errors->str : text);
+
+	g_string_free(errors, TRUE);
+	g_free(text);
+	return failed;
+}
+
 static void usage(void)
 {
 	fprintf(stderr, "usage: standin table ADDR\n"
 			"       standin engine ADDR NAME [MAX]\n"
 			"       standin service ADDR NAME\n"
+			"       standin get URL\n"
 			"       standin program KEY NAME TURNS URL...\n");
 	exit(2);
 }
@@ -326,6 +341,8 @@
 	}
 	if (argc < 3)
 		usage();
+	if (strcmp(argv[1], "get") == 0)
+		return get(argv[2]);
 	if (argc > 3)
 		name = argv[3];
 	if (argc > 4)
