--- a/test/processes.sh
+++ b/test/processes.sh
@@ -82,8 +82,58 @@
 build/standin program wrong-key bad 3 http://127.0.0.1:7101 >"$tmp/bad" || true
 expect "$tmp/bad" '"executed":"no","step":"entry"'
 
+post() { # PATH BODY [HEADER]...
+	path=$1
+	shift
+	build/standin post "http://127.0.0.1:7101$path" "$@"
+}
+auth="Authorization: Bearer demo-key"
+chat='{"model":"kitchen-model","messages":[{"role":"user","content":"out=4"}]}'
+
+# A repeated call under one key finds the first one's answer elsewhere.
+a=$(build/standin post http://127.0.0.1:7101/v1/services/orders '{"n":1}' \
+	"$auth" "Idempotency-Key: order-1")
+b=$(build/standin post http://127.0.0.1:7102/v1/services/orders '{"n":1}' \
+	"$auth" "Idempotency-Key: order-1")
+[ "$a" = "$b" ] && [ "${a%% *}" = 200 ] || fail "a keyed order: $a, then $b"
+post /v1/services/orders '{"n":2}' "$auth" "Idempotency-Key: order-1" \
+	>"$tmp/other"
+expect "$tmp/other" '^409 .*"executed":"no"'
+post /v1/services/hours '{}' >"$tmp/open"
+expect "$tmp/open" '^200 '
+post /v1/services/orders '{}' >"$tmp/nokey"
+expect "$tmp/nokey" '^401 .*"executed":"no"'
+post /v1/chat/completions "$chat" "$auth" >"$tmp/chat"
+expect "$tmp/chat" '^200 .*"rule":"1:'
+post /v1/chat/completions '{"model":"x","messages":[{}]}' "$auth" >"$tmp/model"
+expect "$tmp/model" '^404 .*"step":"entry"'
+post /v1/chat/completions '{"model"' "$auth" >"$tmp/json"
+expect "$tmp/json" '^400 '
+post /v1/chat/completions "$(head -c 120000 /dev/zero | tr '\0' x)" "$auth" \
+	"Content-Length: 99999999" >"$tmp/big"
+expect "$tmp/big" '^413 '
+
+# A zone taken out gets no new work, and a withdrawn key no answer.
+sed '/account tumaini *#/!b;d' examples/rules.txt |
+	sed '$azone a state out # Kamau: test' >"$tmp/rules"
+build/apricotshift apply -p http://127.0.0.1:7100 -r 1 -w kamau \
+	"$tmp/rules" >"$tmp/apply2"
+expect "$tmp/apply2" "revision 2"
+sleep 3
+post /v1/chat/completions "$chat" "$auth" >"$tmp/withdrawn"
+expect "$tmp/withdrawn" '^401 .*"executed":"no"'
+before=$(grep -c start "$tmp/k1" || true)
+for _ in 1 2 3 4; do
+	post /v1/chat/completions "$chat" "Authorization: Bearer kibera-key" \
+		>"$tmp/kibera"
+	expect "$tmp/kibera" '^200 '
+done
+[ "$(grep -c start "$tmp/k1" || true)" = "$before" ] || fail "zone a got work"
+build/apricotshift audit -p http://127.0.0.1:7100 >"$tmp/audit"
+expect "$tmp/audit" '^2 .* kamau'
+
 orders=$(grep -c ' start program=tumaini/' "$tmp/d1")
-[ "$orders" = 3 ] || fail "$orders orders ran, not 3"
+[ "$orders" = 4 ] || fail "$orders orders ran, not 4"
 if grep -l demo-key "$tmp"/k? "$tmp"/d? "$tmp"/n?; then fail "a key leaked"; fi
 grep -c ' release program=tumaini/calm ok=1' "$tmp"/k? >/dev/null ||
 	fail "memory of an ended program was not released"
--- a/test/standins/caller.c
+++ b/test/standins/caller.c
@@ -144,3 +144,30 @@
 	printf("program %s: %s\n", name, failed ? "failed" : "whole");
 	return failed;
 }
+
+int cal_post(const char *url, const char *body, char **headers, int nheaders)
+{
+	CURL *easy = curl_easy_init();
+	struct curl_slist *list = NULL;
+	GString *answer = g_string_new(NULL);
+	long status = 0;
+	CURLcode code;
+
+	for (int i = 0; i < nheaders; i++)
+		list = curl_slist_append(list, headers[i]);
+	list = curl_slist_append(list, "Expect:");
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)CALL_TIMEOUT_MS);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_write);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, answer);
+	curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
+	code = curl_easy_perform(easy);
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	printf("%ld %s\n", status, answer->str);
+	curl_slist_free_all(list);
+	curl_easy_cleanup(easy);
+	g_string_free(answer, TRUE);
+	return code != CURLE_OK;
+}
--- a/test/standins/caller.h
+++ b/test/standins/caller.h
@@ -14,4 +14,14 @@
 int cal_program(const char *key, const char *name, int turns, char **urls,
 		int nurls);
 
+/**
+ * Sends one POST and prints its status and answer.
+ *
+ * @param url     where to
+ * @param body    what
+ * @param headers further header lines
+ * @return 0 if an answer came, whatever its status
+ */
+int cal_post(const char *url, const char *body, char **headers, int nheaders);
+
 #endif
--- a/test/standins/main.c
+++ b/test/standins/main.c
@@ -279,6 +279,7 @@
 			"       standin engine ADDR NAME [MAX]\n"
 			"       standin service ADDR NAME\n"
 			"       standin get URL\n"
+			"       standin post URL BODY [HEADER]...\n"
 			"       standin program KEY NAME TURNS URL...\n");
 	exit(2);
 }
@@ -341,6 +342,8 @@
 	}
 	if (argc < 3)
 		usage();
+	if (strcmp(argv[1], "post") == 0 && argc >= 4)
+		return cal_post(argv[2], argv[3], argv + 4, argc - 4);
 	if (strcmp(argv[1], "get") == 0)
 		return get(argv[2]);
 	if (argc > 3)
