Rules count as current only from a poll that found nothing newer

Change: one notion in place of two.

Ruled out: a shorter grace (any grace is counted from the wrong moment).

--- a/decide/config.c
+++ b/decide/config.c
@@ -7,7 +7,6 @@
 
 enum {
 	CFG_RETRY_MS = 200,
-	CFG_BEHIND_MS = 1000, /* longest use of rules known to be old */
 };
 
 struct config {
@@ -16,7 +15,8 @@
 	uint64_t rejected; /* newest revision that did not parse */
 	bool fetching;
 	int64_t sent_ms;
-	int64_t behind_ms; /* since when a newer revision is known */
+	int64_t polled_ms;   /* sending time of the last good poll */
+	int64_t verified_ms; /* of the last that found nothing newer */
 };
 
 struct config *cfg_create(struct node *node)
@@ -25,6 +25,7 @@
 
 	config->node = node;
 	config->sent_ms = INT64_MIN / 2;
+	config->verified_ms = INT64_MIN / 2;
 	return config;
 }
 
@@ -47,8 +48,14 @@
 
 bool cfg_current(const struct config *config)
 {
-	return settled(config) ||
-	       nod_now(config->node) - config->behind_ms < CFG_BEHIND_MS;
+	return nod_now(config->node) - config->verified_ms < CFG_STALE_MS;
+}
+
+void cfg_polled(struct config *config, int64_t sent_ms)
+{
+	config->polled_ms = sent_ms;
+	if (settled(config))
+		config->verified_ms = sent_ms;
 }
 
 void cfg_see_head(struct config *config, const Aps__Row *row)
@@ -58,8 +65,6 @@
 
 	if (head == NULL)
 		return;
-	if (settled(config))
-		config->behind_ms = nod_now(config->node);
 	if (head->revision > config->newest)
 		config->newest = head->revision;
 	aps__config_row__free_unpacked(head, NULL);
@@ -103,6 +108,8 @@
 		return;
 	if (row->revision > in_force(config))
 		apply(config, row);
+	if (settled(config))
+		config->verified_ms = config->polled_ms;
 	aps__config_row__free_unpacked(row, NULL);
 }
 
--- a/decide/config.h
+++ b/decide/config.h
@@ -7,6 +7,12 @@
 
 #include "node_int.h"
 
+enum {
+	/** Time after which rules not known to be the newest are stale, in ms.
+	 */
+	CFG_STALE_MS = 4000,
+};
+
 /** Creates a follower; no rules are in force yet. */
 struct config *cfg_create(struct node *node);
 
@@ -16,7 +22,10 @@
 /** Takes note of the row that names the newest revision. */
 void cfg_see_head(struct config *config, const Aps__Row *row);
 
-/** Returns whether no newer revision has been known for long. */
+/** A poll that was sent at @p sent_ms has told of all revisions until then. */
+void cfg_polled(struct config *config, int64_t sent_ms);
+
+/** Returns whether the rules in force were the newest a short while ago. */
 bool cfg_current(const struct config *config);
 
 /** Fetches a revision that is not in force yet. */
--- a/decide/member.c
+++ b/decide/member.c
@@ -259,6 +259,7 @@
 	if (member->poll_sent_ms - member->poll_good_ms > MEM_GAP_MS)
 		member->watch_ms = nod_now(member->node);
 	member->poll_good_ms = member->poll_sent_ms;
+	cfg_polled(member->node->config, member->poll_sent_ms);
 	member->viewed = true;
 }
 
@@ -611,6 +612,5 @@
 
 bool mem_fresh(const struct member *member)
 {
-	return nod_now(member->node) - member->poll_good_ms < MEM_STALE_MS &&
-	       cfg_current(member->node->config);
+	return cfg_current(member->node->config);
 }
--- a/decide/member.h
+++ b/decide/member.h
@@ -10,8 +10,6 @@
 enum {
 	/** Time between polls of the table for changes, in ms. */
 	MEM_POLL_MS = 500,
-	/** Time without a good poll after which rules count as stale, in ms. */
-	MEM_STALE_MS = 3000,
 };
 
 /** Creates the view; it holds no shard. */
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -16,7 +16,7 @@
 	mkdir -p "$tmp/tree/apricotshift" "$tmp/tree/bench"
 	perl -0pi -e "$3" "$tmp/tree/$2"
 	case $1 in *"fresh rules") perl -0pi -e \
-		's/return nod_now\(member->node\) - member->poll_good_ms < MEM_STALE_MS &&.*?;/return true;/s' \
+		's/return cfg_current\(member->node->config\);/return true;/' \
 		"$tmp/tree/decide/member.c" ;; esac
 	if cmp -s "$2" "$tmp/tree/$2"; then echo "$1: NOT APPLIED"; return; fi
 	CFLAGS=-O1 make -s -j4 -C "$tmp/tree" build/scenario \
@@ -80,4 +80,4 @@
 	's/own_load\(node->owner, shard->index, reply->rows\[i\]\);/(void)0;/'
 try "no quarantine" decide/marks.c 's/row.marks = mrk_get\(marks, fingerprint\) \+ 1;/row.marks = 1;/'
 try "rules known to be old stay in use" decide/config.c \
-	's/nod_now\(config->node\) - config->behind_ms < CFG_BEHIND_MS/config != NULL/'
+	's/if \(settled\(config\)\)\s*config->verified_ms = sent_ms;/config->verified_ms = sent_ms;/'
