Owner and dispatcher in files of one job; one copy of a message's copying

Owners: calls (owner.c), life of a turn (owner_turn.c), sending (owner_send.c), life of a program (owner_life.c). Dispatchers: jobs (pool.c), runs (pool_run.c). proto/message.h copies any message. No behaviour changes.

--- a/decide/commit.c
+++ b/decide/commit.c
@@ -55,30 +55,6 @@
 	g_free(op);
 }
 
-static Aps__Condition *condition_dup(const Aps__Condition *condition)
-{
-	size_t len = aps__condition__get_packed_size(condition);
-	uint8_t *buf = g_malloc(len + 1);
-	Aps__Condition *copy;
-
-	aps__condition__pack(condition, buf);
-	copy = aps__condition__unpack(NULL, len, buf);
-	g_free(buf);
-	return copy;
-}
-
-static Aps__Row *row_dup(const Aps__Row *row)
-{
-	size_t len = aps__row__get_packed_size(row);
-	uint8_t *buf = g_malloc(len + 1);
-	Aps__Row *copy;
-
-	aps__row__pack(row, buf);
-	copy = aps__row__unpack(NULL, len, buf);
-	g_free(buf);
-	return copy;
-}
-
 struct commit *cmt_create(struct node *node)
 {
 	struct commit *commit = g_new0(struct commit, 1);
@@ -113,9 +89,9 @@
 	op->arg = write->arg;
 	for (size_t i = 0; i < write->conditions_len; i++)
 		g_ptr_array_add(op->conditions,
-				condition_dup(&write->conditions[i]));
+				msg_dup(&write->conditions[i].base));
 	for (size_t i = 0; i < write->rows_len; i++)
-		g_ptr_array_add(op->rows, row_dup(&write->rows[i]));
+		g_ptr_array_add(op->rows, msg_dup(&write->rows[i].base));
 	g_queue_push_tail(commit->queue, op);
 }
 
--- a/decide/entry.c
+++ b/decide/entry.c
@@ -89,7 +89,7 @@
 	uint64_t id = nod_next_id(node);
 
 	ecall->id = id;
-	ecall->request = nod_request_dup(call->request);
+	ecall->request = msg_dup(&call->request->base);
 	ecall->shard = shd_of(SHD_PROGRAM, call->request->program);
 	ecall->deadline_ms = nod_now(node) + call->deadline_ms;
 	ecall->streamed = g_byte_array_new();
--- a/decide/member.c
+++ b/decide/member.c
@@ -348,16 +348,6 @@
 	mem_poll_soon(shard->member);
 }
 
-static uint8_t *pack_shard_row(const Aps__ShardRow *row, size_t *len)
-{
-	uint8_t *buf;
-
-	*len = aps__shard_row__get_packed_size(row);
-	buf = g_malloc(*len + 1);
-	aps__shard_row__pack(row, buf);
-	return buf;
-}
-
 /* Writes the shard's row, and optionally that its old holder is dead. */
 static void write_shard(struct shard *shard, const Aps__ShardRow *row,
 			const struct instance *dead, cmt_fn fn)
@@ -380,7 +370,7 @@
 	conditions[0].key = key;
 	conditions[0].version = shard->version;
 	rows[0].key = key;
-	rows[0].value.data = pack_shard_row(row, &rows[0].value.len);
+	rows[0].value.data = msg_pack(&row->base, &rows[0].value.len);
 	if (dead != NULL) {
 		snprintf(dead_key, sizeof(dead_key), "n/i/%s", dead->row->id);
 		conditions[1].key = dead_key;
--- a/decide/node.c
+++ b/decide/node.c
@@ -215,30 +215,6 @@
 	return true;
 }
 
-Aps__Request *nod_request_dup(const Aps__Request *request)
-{
-	size_t len = aps__request__get_packed_size(request);
-	uint8_t *buf = g_malloc(len + 1);
-	Aps__Request *copy;
-
-	aps__request__pack(request, buf);
-	copy = aps__request__unpack(NULL, len, buf);
-	g_free(buf);
-	return copy;
-}
-
-Aps__Outcome *nod_outcome_dup(const Aps__Outcome *outcome)
-{
-	size_t len = aps__outcome__get_packed_size(outcome);
-	uint8_t *buf = g_malloc(len + 1);
-	Aps__Outcome *copy;
-
-	aps__outcome__pack(outcome, buf);
-	copy = aps__outcome__unpack(NULL, len, buf);
-	g_free(buf);
-	return copy;
-}
-
 void nod_rule_name(const struct node *node, int line, char *buf)
 {
 	buf[0] = '\0';
--- a/decide/node_int.h
+++ b/decide/node_int.h
@@ -10,6 +10,7 @@
 #include "chart.h"
 #include "ledger.h"
 #include "node.h"
+#include "proto/message.h"
 #include "rng.h"
 #include "shard.h"
 
@@ -138,12 +139,6 @@
 /** Sends @p msg to the holder of @p shard. @return false if none is known */
 bool nod_send_shard(struct node *node, int shard, Aps__Peer *msg);
 
-/** Returns a copy of @p request; aps__request__free_unpacked() it. */
-Aps__Request *nod_request_dup(const Aps__Request *request);
-
-/** Returns a copy of @p outcome; aps__outcome__free_unpacked() it. */
-Aps__Outcome *nod_outcome_dup(const Aps__Outcome *outcome);
-
 /** Writes "REVISION:LINE" into @p buf, or nothing if @p line is 0. */
 void nod_rule_name(const struct node *node, int line, char *buf);
 
--- a/decide/owner_int.h
+++ b/decide/owner_int.h
@@ -76,6 +76,64 @@
 	int64_t sweep_due_ms;
 };
 
+enum {
+	/** Most retries that an owner saves up. */
+	OWN_RETRY_CREDIT_MAX = 10,
+	/** Time before looking for a dispatcher again, in ms. */
+	OWN_STALE_MS = 50,
+};
+
+/* Life of one turn (owner_turn.c). */
+
+/** Frees a turn and takes it out of its program. */
+void own_turn_free(struct turn *turn);
+
+/** Takes a step of the chart. @return whether it is allowed */
+bool own_step(struct turn *turn, enum turn_event event);
+
+/** Prepares an outcome that arose here; it has not run unless it may have. */
+void own_fill(Aps__Outcome *outcome, const struct turn *turn, uint32_t status,
+	      const char *reason);
+
+/** Keeps a copy of @p outcome as the turn's. */
+void own_set_outcome(struct turn *turn, const Aps__Outcome *outcome);
+
+/** Tells an entry the end of a call, or NULL: it is not served here. */
+void own_send_call_done(struct node *node, const char *to, uint64_t call_id,
+			const Aps__Outcome *outcome);
+
+/** Tells all who wait for the turn its outcome. */
+void own_answer(struct turn *turn);
+
+/** Answers and forgets a turn that is in the state answered. */
+void own_finish(struct turn *turn);
+
+/** Starts a queued turn, or refuses it. */
+void own_start(struct turn *turn);
+
+/** Ends an attempt: records it, tries again, or fails. */
+void own_conclude(struct turn *turn, const Aps__Outcome *outcome);
+
+/* Turns at their dispatchers (owner_send.c). */
+
+/** Hands a turn to the dispatcher that holds its pool, if one is known. */
+void own_dispatch(struct turn *turn);
+
+/** Sends a turn to its dispatcher, for the first time or again. */
+void own_send_dispatch(struct turn *turn);
+
+/** Forgets the dispatcher of a turn. */
+void own_undispatch(struct turn *turn);
+
+/** Tells the dispatcher that the turn is no longer wanted. */
+void own_send_cancel(struct turn *turn);
+
+/** Returns the shard of the turn's pool, or -1 if no live holder is known. */
+int own_find_pool(const struct turn *turn);
+
+/** Returns whether the turn may go to the holder of @p shard now. */
+bool own_may_trust(const struct turn *turn, int shard);
+
 /** Writes the program's row; @p turn goes on when it is durable. */
 void own_save(struct owner *owner, struct program *program, struct turn *turn);
 
--- a/decide/owner_life.c
+++ b/decide/owner_life.c
@@ -248,16 +248,10 @@
 static void add_child(struct program *program, const Aps__BudgetMove *msg)
 {
 	Aps__Child child = APS__CHILD__INIT;
-	uint8_t *buf;
-	size_t len;
 
 	child.program = msg->child;
 	child.amount = msg->amount;
-	len = aps__child__get_packed_size(&child);
-	buf = g_malloc(len + 1);
-	aps__child__pack(&child, buf);
-	g_ptr_array_add(program->children, aps__child__unpack(NULL, len, buf));
-	g_free(buf);
+	g_ptr_array_add(program->children, msg_dup(&child.base));
 	program->used += msg->amount;
 }
 
--- a/decide/pool_int.h
+++ b/decide/pool_int.h
@@ -32,6 +32,20 @@
 	int64_t sweep_due_ms;
 };
 
+/** Ends a job and tells its owner. */
+void pol_finish(struct pools *pools, struct job *job,
+		const Aps__Outcome *outcome);
+
+/** Ends a job that has not run; @p line names the rule, 0 for none. */
+void pol_refuse(struct pools *pools, struct job *job, uint32_t status, int line,
+		const char *reason);
+
+/** Checks what must hold when a job starts; refuses it if it does not. */
+bool pol_may_start(struct pools *pools, struct job *job);
+
+/** Starts a job on @p server. */
+void pol_start(struct pool *pool, struct job *job, struct server *server);
+
 /** Chooses the next job and its server. @return false if none can start */
 bool plc_next(struct pool *pool, struct job **job, struct server **server);
 
--- /dev/null
+++ b/decide/pool_run.c
@@ -0,0 +1,245 @@
+/** @file pool_run.c @brief Dispatchers: runs on backend servers. */
+#include "config.h"
+#include "marks.h"
+#include "member.h"
+#include "pool_int.h"
+
+enum {
+	POL_TRIES_MAX = 4, /* tries of a job that no server ran */
+};
+
+static void mark_shared(struct pools *pools, const struct job *job)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, pools->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct job *other = value;
+
+		if (g_strcmp0(other->server, job->server) == 0)
+			other->shared = true;
+	}
+}
+
+void pol_start(struct pool *pool, struct job *job, struct server *server)
+{
+	struct pools *pools = pool->set;
+	struct node *node = pools->node;
+	const Aps__Request *request = job->msg->request;
+	struct nod_run run = {.server = server->name,
+			      .addr = server->addr,
+			      .target = request->target,
+			      .program = request->program,
+			      .is_model =
+				      request->kind == APS__CALL_KIND__MODEL,
+			      .repeatable = request->repeatable,
+			      .fence = job->msg->fence,
+			      .max_out = request->max_out,
+			      .prompt = job->msg->prompt};
+
+	fair_remove(job);
+	job->cost = plc_cost(pool, job, server);
+	fair_charge(pool->fair, job->account, job->cost);
+	job->state = JOB_RUNNING;
+	job->started_ms = nod_now(node);
+	job->first_ms = 0;
+	job->run_id = nod_next_id(node);
+	job->tries++;
+	job->cached = srv_cached(server, request->program);
+	g_free(job->server);
+	job->server = g_strdup(server->name);
+	job->shared = server->inflight > 0;
+	if (job->shared)
+		mark_shared(pools, job);
+	srv_started(server, job->solo);
+	g_hash_table_insert(pools->runs, &job->run_id, job);
+	run.run_id = job->run_id;
+	run.deadline_ms = (uint32_t)(job->deadline_ms - job->started_ms);
+	run.resume = nod_bytes(job->text->data, job->text->len);
+	nod_count(node, NOD_DISPATCHES, 1);
+	node->io.run(node->io.arg, &run);
+}
+
+/* Checks that hold when a job is about to start. */
+bool pol_may_start(struct pools *pools, struct job *job)
+{
+	struct node *node = pools->node;
+
+	if (cfg_authorize(node->rules, job->msg->request) == NULL) {
+		pol_refuse(pools, job, 401, 0,
+			   "key is not valid for this account");
+		return false;
+	}
+	if (!mem_alive(node->member, job->from, job->from_incarnation)) {
+		pol_refuse(pools, job, 499, 0, "its owner is gone");
+		return false;
+	}
+	if (mrk_get(node->marks, job->fingerprint) >= MRK_QUARANTINE) {
+		pol_refuse(
+			pools, job, 422, 0,
+			"quarantined: two backend servers crashed running it");
+		return false;
+	}
+	return true;
+}
+
+static void send_chunk(struct pools *pools, const struct job *job,
+		       size_t offset)
+{
+	Aps__Peer peer = APS__PEER__INIT;
+	Aps__DispatchChunk msg = APS__DISPATCH_CHUNK__INIT;
+
+	msg.dispatch_id = job->msg->dispatch_id;
+	msg.offset = offset;
+	msg.text = nod_bytes(job->text->data + offset, job->text->len - offset);
+	peer.body_case = APS__PEER__BODY_DISPATCH_CHUNK;
+	peer.dispatch_chunk = &msg;
+	nod_send(pools->node, job->from, &peer);
+}
+
+static void first_part(struct job *job, uint64_t incarnation)
+{
+	struct server *server = plc_server(job->pool, job->server);
+
+	job->first_ms = nod_now(job->pool->set->node);
+	if (server == NULL)
+		return;
+	srv_see_incarnation(server, incarnation);
+	srv_heard(server, job->first_ms);
+}
+
+void pol_on_run_chunk(struct pools *pools, uint64_t run_id,
+		      uint64_t incarnation, const uint8_t *buf, size_t len)
+{
+	struct job *job = g_hash_table_lookup(pools->runs, &run_id);
+	size_t offset;
+
+	if (job == NULL)
+		return;
+	if (job->first_ms == 0)
+		first_part(job, incarnation);
+	offset = job->text->len;
+	g_byte_array_append(job->text, buf, (guint)len);
+	send_chunk(pools, job, offset);
+}
+
+static void whole(struct pools *pools, struct job *job, struct server *server,
+		  Aps__Outcome *outcome)
+{
+	const Aps__Request *request = job->msg->request;
+	uint32_t missed;
+
+	outcome->status = 200;
+	outcome->executed = APS__EXECUTED__YES;
+	outcome->answer = nod_bytes(job->text->data, job->text->len);
+	mrk_clear(pools->node->marks, job->fingerprint);
+	if (server == NULL)
+		return;
+	outcome->incarnation = server->incarnation;
+	server->seen_ms = nod_now(pools->node);
+	srv_answered(server, plc_learn(job->pool, job, server, outcome));
+	if (request->kind != APS__CALL_KIND__MODEL || request->transient)
+		return;
+	missed = job->cached - MIN(job->cached, outcome->cached_tokens);
+	nod_count(pools->node, NOD_WASTED_TOKENS, missed);
+	nod_count(pools->node, NOD_PREFILL_TOKENS,
+		  outcome->prompt_tokens - outcome->cached_tokens);
+	srv_cache(server, request->program,
+		  outcome->prompt_tokens + outcome->out_tokens);
+}
+
+static void broken(struct pools *pools, struct job *job, struct server *server,
+		   Aps__Outcome *outcome)
+{
+	outcome->status = 502;
+	outcome->executed = APS__EXECUTED__UNKNOWN;
+	outcome->reason = (char *)"the backend server broke off";
+	mrk_add(pools->node->marks, job->fingerprint);
+	if (server != NULL)
+		srv_failed(server, nod_now(pools->node));
+}
+
+/* Queues a job that no server ran. @return false if it was tried enough */
+static bool try_again(struct pools *pools, struct job *job)
+{
+	if (job->tries >= POL_TRIES_MAX || !job->pool->held ||
+	    !mem_holds(pools->node->member, job->pool->shard))
+		return false;
+	job->state = JOB_QUEUED;
+	fair_push(job->pool->fair, job);
+	return true;
+}
+
+static void unsent(struct pools *pools, struct server *server,
+		   const struct nod_run_result *result, Aps__Outcome *outcome)
+{
+	outcome->status = 503;
+	outcome->executed = APS__EXECUTED__NO;
+	outcome->reason = (char *)"no backend server took it";
+	outcome->retry_after_ms = 1000;
+	if (server != NULL && result->end == NOD_RUN_UNSENT)
+		srv_failed(server, nod_now(pools->node));
+	else if (server != NULL && result->status != 409)
+		srv_answered(server, false);
+	if (result->status == 409)
+		outcome->reason = (char *)"an order with a newer fence came";
+}
+
+static void failed(const struct nod_run_result *result, Aps__Outcome *outcome)
+{
+	outcome->status = 502;
+	outcome->executed = result->end == NOD_RUN_FAILED
+				    ? APS__EXECUTED__YES
+				    : APS__EXECUTED__UNKNOWN;
+	if (result->end == NOD_RUN_CROSSED)
+		outcome->reason = (char *)"the answer was another request's";
+	else if (result->end == NOD_RUN_CANCELLED)
+		outcome->reason = (char *)"cancelled while it ran";
+	else
+		outcome->reason = (char *)"the backend server failed";
+}
+
+void pol_on_run_done(struct pools *pools, uint64_t run_id,
+		     const struct nod_run_result *result)
+{
+	struct job *job = g_hash_table_lookup(pools->runs, &run_id);
+	Aps__Outcome outcome = APS__OUTCOME__INIT;
+	struct server *server;
+	char rule[NOD_RULE_MAX];
+
+	if (job == NULL)
+		return;
+	g_hash_table_remove(pools->runs, &run_id);
+	server = plc_server(job->pool, job->server);
+	if (server != NULL) {
+		srv_ended(server, job->solo, job->first_ms > 0);
+		srv_see_incarnation(server, result->incarnation);
+	}
+	nod_rule_name(pools->node, server != NULL ? server->line : 0, rule);
+	outcome.rule = rule;
+	outcome.step = (char *)"run";
+	outcome.peer = job->server;
+	outcome.server = job->server;
+	outcome.prompt_tokens = result->prompt_tokens;
+	outcome.cached_tokens =
+		MIN(result->cached_tokens, result->prompt_tokens);
+	outcome.out_tokens = result->out_tokens;
+	switch (result->end) {
+	case NOD_RUN_WHOLE:
+		whole(pools, job, server, &outcome);
+		break;
+	case NOD_RUN_BROKEN:
+		broken(pools, job, server, &outcome);
+		break;
+	case NOD_RUN_UNSENT:
+	case NOD_RUN_REFUSED:
+		unsent(pools, server, result, &outcome);
+		if (result->status != 409 && try_again(pools, job))
+			return;
+		break;
+	default:
+		failed(result, &outcome);
+	}
+	pol_finish(pools, job, &outcome);
+}
--- a/decide/program.c
+++ b/decide/program.c
@@ -173,19 +173,12 @@
 		const Aps__Outcome *outcome)
 {
 	Aps__TurnRecord record = APS__TURN_RECORD__INIT;
-	uint8_t *buf;
-	size_t len;
 
 	record.turn = program->next_turn++;
 	record.body_hash = request->body_hash;
 	record.body = request->body;
 	record.outcome = (Aps__Outcome *)outcome;
-	len = aps__turn_record__get_packed_size(&record);
-	buf = g_malloc(len + 1);
-	aps__turn_record__pack(&record, buf);
-	g_ptr_array_add(program->records,
-			aps__turn_record__unpack(NULL, len, buf));
-	g_free(buf);
+	g_ptr_array_add(program->records, msg_dup(&record.base));
 }
 
 static void append_text(GByteArray *out, const char *text)
--- a/serve/loop.c
+++ b/serve/loop.c
@@ -11,6 +11,7 @@
 #include "loop.h"
 #include "outbound.h"
 #include "peer.h"
+#include "proto/message.h"
 
 enum {
 	LOOP_TICK_MS = 10,
@@ -131,23 +132,11 @@
 	g_mutex_unlock(&call->lock);
 }
 
-static Aps__Outcome *outcome_dup(const Aps__Outcome *outcome)
-{
-	size_t len = aps__outcome__get_packed_size(outcome);
-	uint8_t *buf = g_malloc(len + 1);
-	Aps__Outcome *copy;
-
-	aps__outcome__pack(outcome, buf);
-	copy = aps__outcome__unpack(NULL, len, buf);
-	g_free(buf);
-	return copy;
-}
-
 static void finish_call(struct loop_call *call, const Aps__Outcome *outcome)
 {
 	g_mutex_lock(&call->lock);
 	if (outcome != NULL && call->outcome == NULL)
-		call->outcome = outcome_dup(outcome);
+		call->outcome = msg_dup(&outcome->base);
 	call->done = true;
 	g_cond_signal(&call->cond);
 	g_mutex_unlock(&call->lock);
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -34,14 +34,14 @@
 	echo "$1:${found:- SURVIVED}"
 }
 
-try "no started record" decide/owner.c \
+try "no started record" decide/owner_turn.c \
 	's/if \(covered\(turn\)\) \{/if (1) {/'
 try "commit without the condition on our row" decide/commit.c \
 	's/g_ptr_array_add\(conditions, &own\);//'
 try "a dead row read as success" decide/commit.c \
 	's/\(self->state != APS__INSTANCE_STATE__DEAD \|\|/(1 ||/'
-try "last frame before the commit" decide/owner.c \
-	's/step\(turn, TURN_RECORD\);\n\town_save\(turn->owner, program, turn\);\n\town_move/step(turn, TURN_RECORD);\n\tanswer(turn);\n\town_save(turn->owner, program, turn);\n\town_move/'
+try "last frame before the commit" decide/owner_turn.c \
+	's/(own_save\(turn->owner, program, turn\);\n\town_move)/own_answer(turn);\n\t$1/'
 try "no lease check, nor a check for fresh rules" decide/commit.c \
 	's/return !commit->node->fenced &&\s*nod_now\(commit->node\) \+ CMT_GUARD_MS < commit->lease_until_ms;/return commit->lease_until_ms > 0;/'
 try "a new incarnation vouches" decide/owner.c \
@@ -54,7 +54,7 @@
 	's/account->burst - b->outstanding/account->burst/'
 try "a full bucket after a takeover" decide/ledger.c \
 	's/(b->grants = g_array_new)/b->tokens = 1e9;\n\t$1/'
-try "keys not checked at dispatch" decide/pool.c \
+try "keys not checked at dispatch" decide/pool_run.c \
 	's/if \(cfg_authorize\(node->rules, job->msg->request\) == NULL\)/if (0)/'
 try "keys not checked anywhere" decide/config.c \
 	's/if \(key == NULL \|\| strcmp\(key->account, request->account\) != 0\)\s*return NULL;\s*return rul_account\(rules, key->account\);/(void)key; return rul_account(rules, request->account);/'
@@ -64,13 +64,13 @@
 	's/uint32_t foreign = reported > own \? reported - own : 0;/uint32_t foreign = 0; (void)reported; (void)own;/'
 try "no release" decide/owner_life.c \
 	's/order_release\(owner, program, program->servers->pdata\[i\]\);/(void)0;/'
-try "budget by estimate" decide/owner.c \
+try "budget by estimate" decide/owner_turn.c \
 	's/return turn->program->history_tokens \+ request->body.len \+\s*request->max_out \+ OWN_PROMPT_SLACK;/return request->max_out \/ 8;/'
-try "lost runs cost nothing" decide/owner.c \
+try "lost runs cost nothing" decide/owner_turn.c \
 	's/program->used \+= turn->reserved;//'
-try "crossed answers taken" decide/pool.c \
+try "crossed answers taken" decide/pool_run.c \
 	's/case NOD_RUN_WHOLE:/case NOD_RUN_WHOLE:\n\tcase NOD_RUN_CROSSED:/'
-try "broken runs said not to have run" decide/pool.c \
+try "broken runs said not to have run" decide/pool_run.c \
 	's/outcome->executed = APS__EXECUTED__UNKNOWN;\n\toutcome->reason = \(char \*\)"the backend server broke off"/outcome->executed = APS__EXECUTED__NO;\n\toutcome->reason = (char *)"the backend server broke off"/'
 try "stops cut off" decide/node.c \
 	's/if \(!node->draining\)\n\t\treturn false;/return node->draining;/'
--- a/test/sim/store.c
+++ b/test/sim/store.c
@@ -1,4 +1,5 @@
 /** @file store.c @brief The platform's table and object store, with faults. */
+#include "proto/message.h"
 #include "test/sim/world.h"
 
 enum {
@@ -145,12 +146,8 @@
 	       const Aps__TableRequest *request)
 {
 	struct ask *ask = ask_create(n, cookie);
-	size_t len = aps__table_request__get_packed_size(request);
-	uint8_t *buf = g_malloc(len + 1);
 
-	aps__table_request__pack(request, buf);
-	ask->request = aps__table_request__unpack(NULL, len, buf);
-	g_free(buf);
+	ask->request = msg_dup(&request->base);
 	send(n, ask, on_request);
 }
 
