--- a/test/scenario.c
+++ b/test/scenario.c
@@ -580,18 +580,17 @@
 	return failed > 0;
 }
 
-static int run_files(char **files, int n)
+static int run_files(char **files, size_t n)
 {
 	struct CMUnitTest *tests = g_new0(struct CMUnitTest, n);
 	int failed;
 
-	for (int i = 0; i < n; i++) {
+	for (size_t i = 0; i < n; i++) {
 		tests[i].name = files[i];
 		tests[i].test_func = run_file;
 		tests[i].initial_state = files[i];
 	}
-	failed = _cmocka_run_group_tests("scenarios", tests, (size_t)n, NULL,
-					 NULL);
+	failed = _cmocka_run_group_tests("scenarios", tests, n, NULL, NULL);
 	g_free(tests);
 	return failed != 0;
 }
@@ -614,5 +613,5 @@
 	}
 	if (count > 0)
 		return random_runs(seed, count);
-	return run_files(argv + i, argc - i);
+	return run_files(argv + i, (size_t)(argc - i));
 }
