--- a/test/processes.sh
+++ b/test/processes.sh
@@ -3,6 +3,7 @@
 # instance, the freezing of another and a graceful replacement of the third.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+bin=${BIN:-build}
 tmp=$(mktemp -d)
 declare -A pid
 cleanup() {
@@ -21,7 +22,7 @@
 fail() { echo "processes: $*"; tail -n 5 "$tmp"/*; exit 1; }
 ready() {
 	for _ in $(seq 300); do
-		build/apricotshift status "http://127.0.0.1:710$1" 2>/dev/null |
+		$bin/apricotshift status "http://127.0.0.1:710$1" 2>/dev/null |
 			grep -q '"ready":true' && return
 		sleep 0.1
 	done
@@ -31,30 +32,30 @@
 	grep -q -- "$2" "$1" || fail "no '$2' in $(cat "$1")"
 }
 
-start table build/standin table 127.0.0.1:7100
-start k1 build/standin engine 127.0.0.1:7201 k1
-start k2 build/standin engine 127.0.0.1:7202 k2
-start d1 build/standin service 127.0.0.1:7301 d1
+start table $bin/standin table 127.0.0.1:7100
+start k1 $bin/standin engine 127.0.0.1:7201 k1
+start k2 $bin/standin engine 127.0.0.1:7202 k2
+start d1 $bin/standin service 127.0.0.1:7301 d1
 sleep 0.5
-build/apricotshift apply -p http://127.0.0.1:7100 -r 0 -w test \
+$bin/apricotshift apply -p http://127.0.0.1:7100 -r 0 -w test \
 	examples/rules.txt >"$tmp/apply"
 expect "$tmp/apply" "revision 1"
 
 # A race of operators: the loser is told who won, and nothing is lost.
-if build/apricotshift apply -p http://127.0.0.1:7100 -r 0 -w late \
+if $bin/apricotshift apply -p http://127.0.0.1:7100 -r 0 -w late \
 	examples/rules.txt 2>"$tmp/race"; then fail "a stale apply passed"; fi
 expect "$tmp/race" "test has applied revision 1"
 
 for n in 1 2 3; do
-	start "n$n" build/apricotshift serve -c "examples/n$n.json"
+	start "n$n" $bin/apricotshift serve -c "examples/n$n.json"
 done
 for n in 1 2 3; do ready "$n"; done
 urls="http://127.0.0.1:7101 http://127.0.0.1:7102 http://127.0.0.1:7103"
 
 # shellcheck disable=SC2086
-build/standin program demo-key calm 4 $urls >"$tmp/calm" || fail "calm"
+$bin/standin program demo-key calm 4 $urls >"$tmp/calm" || fail "calm"
 # shellcheck disable=SC2086
-build/standin program demo-key storm 12 $urls >"$tmp/storm" &
+$bin/standin program demo-key storm 12 $urls >"$tmp/storm" &
 storm=$!
 sleep 1
 kill -KILL "${pid[n1]}"
@@ -62,14 +63,14 @@
 kill -STOP "${pid[n2]}"
 sleep 6
 kill -CONT "${pid[n2]}"
-start n1 build/apricotshift serve -c examples/n1.json
+start n1 $bin/apricotshift serve -c examples/n1.json
 wait "$storm" || fail "a program did not survive"
 ready 1
 ready 2
 
 # A graceful stop cuts nothing off and ends with status 0.
 # shellcheck disable=SC2086
-build/standin program demo-key drain 8 http://127.0.0.1:7103 $urls \
+$bin/standin program demo-key drain 8 http://127.0.0.1:7103 $urls \
 	>"$tmp/drain" &
 drain=$!
 sleep 1
@@ -79,21 +80,21 @@
 wait "$drain" || fail "a program was cut off"
 
 # Bad input gets clear errors, and the process goes on.
-build/standin program wrong-key bad 3 http://127.0.0.1:7101 >"$tmp/bad" || true
+$bin/standin program wrong-key bad 3 http://127.0.0.1:7101 >"$tmp/bad" || true
 expect "$tmp/bad" '"executed":"no","step":"entry"'
 
 post() { # PATH BODY [HEADER]...
 	path=$1
 	shift
-	build/standin post "http://127.0.0.1:7101$path" "$@"
+	$bin/standin post "http://127.0.0.1:7101$path" "$@"
 }
 auth="Authorization: Bearer demo-key"
 chat='{"model":"kitchen-model","messages":[{"role":"user","content":"out=4"}]}'
 
 # A repeated call under one key finds the first one's answer elsewhere.
-a=$(build/standin post http://127.0.0.1:7101/v1/services/orders '{"n":1}' \
+a=$($bin/standin post http://127.0.0.1:7101/v1/services/orders '{"n":1}' \
 	"$auth" "Idempotency-Key: order-1")
-b=$(build/standin post http://127.0.0.1:7102/v1/services/orders '{"n":1}' \
+b=$($bin/standin post http://127.0.0.1:7102/v1/services/orders '{"n":1}' \
 	"$auth" "Idempotency-Key: order-1")
 [ "$a" = "$b" ] && [ "${a%% *}" = 200 ] || fail "a keyed order: $a, then $b"
 post /v1/services/orders '{"n":2}' "$auth" "Idempotency-Key: order-1" \
@@ -119,7 +120,7 @@
 # A zone taken out gets no new work, and a withdrawn key no answer.
 sed '/account tumaini *#/!b;d' examples/rules.txt |
 	sed '$azone a state out # Kamau: test' >"$tmp/rules"
-build/apricotshift apply -p http://127.0.0.1:7100 -r 1 -w kamau \
+$bin/apricotshift apply -p http://127.0.0.1:7100 -r 1 -w kamau \
 	"$tmp/rules" >"$tmp/apply2"
 expect "$tmp/apply2" "revision 2"
 sleep 3
@@ -132,7 +133,7 @@
 	expect "$tmp/kibera" '^200 '
 done
 [ "$(grep -c start "$tmp/k1" || true)" = "$before" ] || fail "zone a got work"
-build/apricotshift audit -p http://127.0.0.1:7100 >"$tmp/audit"
+$bin/apricotshift audit -p http://127.0.0.1:7100 >"$tmp/audit"
 expect "$tmp/audit" '^2 .* kamau'
 
 orders=$(grep -c ' start program=tumaini/' "$tmp/d1")
--- a/test/run.sh
+++ b/test/run.sh
@@ -56,6 +56,7 @@
 		{ echo "not in KNOWN-RED.txt: $bad"; exit 1; }
 fi
 
-step "real processes"
+step "real processes, then with sanitizers"
 timeout 300 test/processes.sh
+BIN=build-san timeout 300 test/processes.sh
 echo "all: 1 passed, 0 failed"
