--- a/decide/entry.c
+++ b/decide/entry.c
@@ -174,6 +174,9 @@
 		fail(entry, call, 502, "answer changed while it was streamed");
 		return;
 	}
+	/* Our view is old, so a copy may have reached an earlier owner. */
+	if (incarnation != call->sent_incarnation)
+		call->uncertain = true;
 	if (call->uncertain && done->outcome->executed == APS__EXECUTED__NO) {
 		done->outcome->executed = APS__EXECUTED__UNKNOWN;
 	}
--- a/decide/owner_life.c
+++ b/decide/owner_life.c
@@ -48,6 +48,7 @@
 		request.body = started->body;
 		outcome.status = 502;
 		outcome.executed = APS__EXECUTED__UNKNOWN;
+		outcome.recorded = true;
 		outcome.step = (char *)"owner";
 		outcome.peer = owner->node->id;
 		outcome.reason = (char *)"its owner was lost; it may have run";
--- a/decide/owner_turn.c
+++ b/decide/owner_turn.c
@@ -392,9 +392,11 @@
 		return;
 	}
 	/* What may have run and must not run again is part of the history. */
-	if (outcome->executed != APS__EXECUTED__NO &&
-	    !turn->request->repeatable)
-		prg_append(program, turn->request, outcome);
+	if (turn->outcome->executed != APS__EXECUTED__NO &&
+	    !turn->request->repeatable) {
+		turn->outcome->recorded = true;
+		prg_append(program, turn->request, turn->outcome);
+	}
 	own_set_started(program, NULL);
 	own_step(turn, TURN_RECORD);
 	own_save(turn->owner, program, turn);
--- a/proto/apricot.pb-c.c
+++ b/proto/apricot.pb-c.c
@@ -1447,7 +1447,7 @@
   assert(message->base.descriptor == &aps__table_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor aps__outcome__field_descriptors[13] =
+static const ProtobufCFieldDescriptor aps__outcome__field_descriptors[14] =
 {
   {
     "status",
@@ -1605,6 +1605,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "recorded",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Aps__Outcome, recorded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned aps__outcome__field_indices_by_name[] = {
   7,   /* field[7] = answer */
@@ -1615,6 +1627,7 @@
   3,   /* field[3] = peer */
   8,   /* field[8] = prompt_tokens */
   4,   /* field[4] = reason */
+  13,   /* field[13] = recorded */
   6,   /* field[6] = retry_after_ms */
   5,   /* field[5] = rule */
   11,   /* field[11] = server */
@@ -1624,7 +1637,7 @@
 static const ProtobufCIntRange aps__outcome__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor aps__outcome__descriptor =
 {
@@ -1634,7 +1647,7 @@
   "Aps__Outcome",
   "aps",
   sizeof(Aps__Outcome),
-  13,
+  14,
   aps__outcome__field_descriptors,
   aps__outcome__field_indices_by_name,
   1,  aps__outcome__number_ranges,
--- a/proto/apricot.pb-c.h
+++ b/proto/apricot.pb-c.h
@@ -121,10 +121,14 @@
    * of the server
    */
   uint64_t incarnation;
+  /*
+   * the turn is over; sent again, it gets this
+   */
+  protobuf_c_boolean recorded;
 };
 #define APS__OUTCOME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&aps__outcome__descriptor) \
-    , 0, APS__EXECUTED__NO, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, APS__EXECUTED__NO, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/serve/http.c
+++ b/serve/http.c
@@ -70,10 +70,10 @@
 	char *text = g_strdup_printf(
 		"{\"type\":\"about:blank\",\"status\":%u,\"title\":%s,"
 		"\"executed\":\"%s\",\"step\":\"%s\",\"peer\":\"%s\","
-		"\"rule\":\"%s\"}",
+		"\"rule\":\"%s\",\"recorded\":%s}",
 		outcome->status, reason, executed_name(outcome->executed),
 		outcome->step, outcome->peer != NULL ? outcome->peer : "",
-		outcome->rule);
+		outcome->rule, outcome->recorded ? "true" : "false");
 
 	g_free(reason);
 	return text;
--- a/test/run.sh
+++ b/test/run.sh
@@ -34,6 +34,13 @@
 step "scenarios, with sanitizers"
 build-san/scenario test/scenarios/*.scn
 
+step "seeds that once failed"
+for s in 30104 30217 30223 40193 40231 50097 50115 60088 60108 70127 70205 \
+	80015 100379 200322 200503 200721 301246 500334 501147 600006 601218 \
+	700253 801066 17000351 102910378 555195462 643255198 743162952; do
+	build/scenario -n 1 -s "$s"
+done
+
 step "random interleavings: $runs runs from seed 1, 200 with sanitizers"
 tmp=$(mktemp -d)
 trap 'rm -rf "$tmp"' EXIT
--- a/test/sim/clients.c
+++ b/test/sim/clients.c
@@ -376,12 +376,10 @@
 /* What may have run: a repeatable turn is sent again, others once more. */
 static void on_unknown(struct prog *prog, const Aps__Outcome *outcome)
 {
-	bool recorded = strcmp(outcome->step, "entry") != 0;
-
 	prog->unknown++;
 	if (prog->tool && prog->one_shot)
 		give_up(prog);
-	else if (prog->tool && recorded)
+	else if (prog->tool && outcome->recorded)
 		turn_over(prog, false);
 	else if (outcome->status == 401)
 		stop(prog, outcome->status);
