What has run is remembered until its deadline, on both sides

Cause: found by reading: an owner kept a keyless answer for 30 s and a dispatcher an outcome for 60 s, while copies may come until the caller's deadline, 120 s by default. long-cut.scn (peers cut for 100 s, deadlines of 200 s) ran ten and more orders twice. Both now remember until the deadline and 30 or 60 s on; an owner sends no copy later than 30 s after the deadline it first sent, and calls the outcome unknown.

Ruled out: a longer constant (deadlines go up to an hour).

--- a/decide/owner.c
+++ b/decide/owner.c
@@ -401,8 +401,8 @@
 		own_dispatch(turn);
 		return;
 	}
-	if (mem_alive(node->member, turn->dispatcher,
-		      turn->dispatcher_incarnation)) {
+	if (now < turn->verdict_ms && mem_alive(node->member, turn->dispatcher,
+						turn->dispatcher_incarnation)) {
 		own_send_dispatch(turn);
 		return;
 	}
@@ -425,7 +425,9 @@
 		running_tick(turn);
 		break;
 	case TURN_ANSWERED:
-		if (now - turn->answered_ms > OWN_KEPT_MS)
+		/* Copies may come until the caller's deadline. */
+		if (now >
+		    MAX(turn->answered_ms, turn->deadline_ms) + OWN_KEPT_MS)
 			own_turn_free(turn);
 		break;
 	default:
--- a/decide/owner_int.h
+++ b/decide/owner_int.h
@@ -63,6 +63,7 @@
 	uint64_t dispatcher_incarnation;
 	uint64_t pool_epoch;
 	int64_t send_due_ms;
+	int64_t verdict_ms; /**< no copy is sent to the dispatcher after it */
 	int64_t answered_ms;
 	Aps__Outcome *outcome;
 };
--- a/decide/owner_send.c
+++ b/decide/owner_send.c
@@ -4,6 +4,9 @@
 
 enum {
 	OWN_RESEND_MS = 2000, /* between sendings to a dispatcher */
+	/* Wait for an outcome after the deadline; less than a dispatcher
+	 * remembers it for, so that a late copy cannot run again. */
+	OWN_VERDICT_MS = 30000,
 };
 
 void own_send_dispatch(struct turn *turn)
@@ -74,6 +77,7 @@
 		nod_hello(node, mem_holder(node->member, shard), false);
 		return;
 	}
+	turn->verdict_ms = turn->deadline_ms + OWN_VERDICT_MS;
 	turn->dispatch_id = nod_next_id(node);
 	g_hash_table_insert(turn->owner->dispatches, &turn->dispatch_id, turn);
 	g_free(turn->dispatcher);
--- a/decide/pool.c
+++ b/decide/pool.c
@@ -464,7 +464,8 @@
 
 	(void)key;
 	return job->state == JOB_DONE &&
-	       nod_now(pools->node) - job->done_ms > POL_DONE_KEPT_MS;
+	       nod_now(pools->node) >
+		       MAX(job->done_ms, job->deadline_ms) + POL_DONE_KEPT_MS;
 }
 
 static void sweep(struct pools *pools)
--- a/test/scenario.c
+++ b/test/scenario.c
@@ -123,6 +123,8 @@
 		prog->parent = (int)number(word, n, "parent", -1);
 		prog->keep = flag(word, n, "keep");
 		prog->one_shot = flag(word, n, "once");
+		prog->deadline_ms =
+			(int)number(word, n, "deadline", CLI_DEADLINE_MS);
 		prog->early = flag(word, n, "early");
 		prog->poison = text(word, n, "poison");
 		cli_start(prog,
--- a/test/sim/clients.c
+++ b/test/sim/clients.c
@@ -58,6 +58,7 @@
 	prog->turns = turns;
 	prog->out_tokens = 40;
 	prog->pause_ms = 200;
+	prog->deadline_ms = CLI_DEADLINE_MS;
 	prog->parent = -1;
 	prog->streamed = g_byte_array_new();
 	prog->bodies = g_ptr_array_new_with_free_func(g_free);
@@ -137,7 +138,7 @@
 	struct wld_node *n = wld_pick_node(prog->world);
 	Aps__Request request = APS__REQUEST__INIT;
 	struct nod_call msg = {.request = &request,
-			       .deadline_ms = CLI_DEADLINE_MS};
+			       .deadline_ms = (uint32_t)prog->deadline_ms};
 	uint8_t secret[crypto_hash_sha256_BYTES];
 	uint8_t hash[crypto_hash_sha256_BYTES];
 	char program[64];
@@ -163,7 +164,7 @@
 	struct world *w = prog->world;
 	Aps__Request request = APS__REQUEST__INIT;
 	struct nod_call msg = {.request = &request,
-			       .deadline_ms = CLI_DEADLINE_MS};
+			       .deadline_ms = (uint32_t)prog->deadline_ms};
 	char program[64];
 	char parent[64];
 	uint8_t secret[crypto_hash_sha256_BYTES];
@@ -206,7 +207,7 @@
 	key = g_new(uint64_t, 1);
 	*key = id;
 	g_hash_table_insert(w->calls, key, prog);
-	wld_after(w, CLI_TIMEOUT_MS, on_timeout, prog);
+	wld_after(w, prog->deadline_ms + CLI_LATE_MS, on_timeout, prog);
 }
 
 static void on_call(struct world *w, void *arg)
@@ -253,7 +254,8 @@
 
 	struct wld_node *n = &w->nodes[prog->node];
 
-	if (!prog->calling || w->now_ms - prog->called_ms < CLI_TIMEOUT_MS)
+	if (!prog->calling ||
+	    w->now_ms - prog->called_ms < prog->deadline_ms + CLI_LATE_MS)
 		return;
 	/* The connection closes; a frozen instance does not notice. */
 	if (n->node != NULL && !n->frozen)
--- a/test/sim/clients.h
+++ b/test/sim/clients.h
@@ -8,8 +8,8 @@
 #include "test/sim/world.h"
 
 enum {
-	CLI_DEADLINE_MS = 20000, /**< that a call states */
-	CLI_TIMEOUT_MS = 25000,	 /**< after which a caller tries elsewhere */
+	CLI_DEADLINE_MS = 20000, /**< that a call states, if none is set */
+	CLI_LATE_MS = 5000, /**< after its deadline a caller tries elsewhere */
 	CLI_TRIES_MAX = 100,
 };
 
@@ -33,6 +33,7 @@
 	uint64_t budget;
 	int parent;	    /**< index of the parent program, or -1 */
 	bool one_shot;	    /**< keeps no history: no program id */
+	int deadline_ms;    /**< that each call states */
 	bool early;	    /**< sends each turn ahead of its time as well */
 	bool keep;	    /**< is not ended by its caller */
 	const char *poison; /**< word that the first body carries, or NULL */
