--- a/bench/load.c
+++ b/bench/load.c
@@ -278,6 +278,7 @@
 	       "\"wasted_tokens\":%llu,\"overloads\":%u,\"refused\":%llu,"
 	       "\"turns\":%llu,\"commits\":%llu,\"writes_s\":%.1f,"
 	       "\"reads_s\":%.1f,\"peer_bytes\":%llu,\"first_p95_ms\":%.0f,"
+	       "\"last_frame_p50_ms\":%.0f,\"last_frame_p95_ms\":%.0f,"
 	       "\"shards_taken\":%llu}\n",
 	       argv[2], argv[3], argv[4], argv[5], r->latency->len, r->failed,
 	       quantile(r->latency, .5), quantile(r->latency, .95),
@@ -291,7 +292,8 @@
 	       (double)w->table_writes / (seconds + WARM_MS / MS_PER_S),
 	       (double)w->table_reads / (seconds + WARM_MS / MS_PER_S),
 	       (unsigned long long)count(w, NOD_PEER_BYTES),
-	       quantile(w->first_ms, .95),
+	       quantile(w->first_ms, .95), quantile(w->last_ms, .5),
+	       quantile(w->last_ms, .95),
 	       (unsigned long long)count(w, NOD_SHARDS_TAKEN));
 }
 
--- a/test/sim/backends.c
+++ b/test/sim/backends.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "test/sim/clients.h"
 #include "test/sim/world.h"
 
 enum {
@@ -155,6 +156,9 @@
 	back->result.out_tokens = a->is_model ? a->out : 0;
 	if (a->log != NULL) {
 		a->log->end_ms = w->now_ms;
+		if (a->log->prog >= 0 && a->log->prog < (int)w->progs->len)
+			((struct prog *)w->progs->pdata[a->log->prog])
+				->run_end_ms = w->now_ms;
 		a->log->tokens = a->is_model ? a->prompt + out : 0;
 		if (a->is_model)
 			mdl_end(s->model, a->program, a->prompt + out,
--- a/test/sim/clients.c
+++ b/test/sim/clients.c
@@ -26,6 +26,7 @@
 void cli_create(struct world *w)
 {
 	w->progs = g_ptr_array_new_with_free_func(prog_free);
+	w->last_ms = g_array_new(FALSE, FALSE, sizeof(double));
 	w->first_ms = g_array_new(FALSE, FALSE, sizeof(double));
 	w->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					 NULL);
@@ -34,6 +35,7 @@
 void cli_destroy(struct world *w)
 {
 	g_array_unref(w->first_ms);
+	g_array_unref(w->last_ms);
 	g_hash_table_unref(w->calls);
 	g_ptr_array_unref(w->progs);
 }
@@ -404,6 +406,9 @@
 	if (prog->turn == prog->turns) {
 		on_end_reply(prog, outcome);
 	} else if (outcome->status == 200) {
+		double last = (double)(n->world->now_ms - prog->run_end_ms);
+
+		g_array_append_val(n->world->last_ms, last);
 		check_answer(prog, outcome, streamed);
 		turn_over(prog, true);
 	} else if (outcome->executed == APS__EXECUTED__NO) {
--- a/test/sim/clients.h
+++ b/test/sim/clients.h
@@ -53,6 +53,7 @@
 	GArray *answered;  /**< bool for each turn */
 	GArray *not_run;   /**< struct cli_not_run */
 	int64_t called_ms;
+	int64_t run_end_ms; /**< when a server ended its last run */
 	int64_t started_ms;
 	int64_t turn_ms; /**< when the current turn was first called */
 	int64_t done_ms;
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -124,6 +124,7 @@
 	int64_t last_arrival[WLD_NODES_MAX][WLD_NODES_MAX];
 	GPtrArray *runs;   /**< struct wld_run, by start */
 	GPtrArray *progs;  /**< struct prog */
+	GArray *last_ms;   /**< double: from a run's end to its last frame */
 	GArray *first_ms;  /**< double: time to the first part of each turn */
 	GHashTable *calls; /**< call id to struct prog */
 	uint64_t fresh_tokens;	/**< prefilled */
