Fields that nobody reads are gone

Cause: read as a newcomer: Dispatch.incarnation repeats the frame's, and three fields of a mark's row were never set. No behaviour changes.

--- a/decide/entry.c
+++ b/decide/entry.c
@@ -177,9 +177,8 @@
 	/* Our view is old, so a copy may have reached an earlier owner. */
 	if (incarnation != call->sent_incarnation)
 		call->uncertain = true;
-	if (call->uncertain && done->outcome->executed == APS__EXECUTED__NO) {
+	if (call->uncertain && done->outcome->executed == APS__EXECUTED__NO)
 		done->outcome->executed = APS__EXECUTED__UNKNOWN;
-	}
 	finish(entry, call, done->outcome);
 }
 
--- a/decide/owner_send.c
+++ b/decide/owner_send.c
@@ -4,8 +4,8 @@
 
 enum {
 	OWN_RESEND_MS = 2000, /* between sendings to a dispatcher */
-	/* Wait for an outcome after the deadline; less than a dispatcher
-	 * remembers it for, so that a late copy cannot run again. */
+	/* Wait for an outcome after the deadline, in ms: shorter than a
+	 * dispatcher remembers it, so that a late copy cannot run again. */
 	OWN_VERDICT_MS = 30000,
 };
 
@@ -18,7 +18,6 @@
 	int64_t now = nod_now(node);
 
 	msg.dispatch_id = turn->dispatch_id;
-	msg.incarnation = node->incarnation;
 	msg.pool_epoch = turn->pool_epoch;
 	msg.fence = mem_epoch(node->member, turn->program->shard);
 	msg.deadline_ms = (uint32_t)MAX(turn->deadline_ms - now, 1);
--- a/proto/apricot.pb-c.c
+++ b/proto/apricot.pb-c.c
@@ -2143,7 +2143,7 @@
   (ProtobufCMessageInit) aps__call_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aps__dispatch__field_descriptors[9] =
+static const ProtobufCFieldDescriptor aps__dispatch__field_descriptors[8] =
 {
   {
     "dispatch_id",
@@ -2157,18 +2157,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "incarnation",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Aps__Dispatch, incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "pool_epoch",
     3,
@@ -2255,20 +2243,20 @@
   },
 };
 static const unsigned aps__dispatch__field_indices_by_name[] = {
-  7,   /* field[7] = attained */
-  4,   /* field[4] = deadline_ms */
+  6,   /* field[6] = attained */
+  3,   /* field[3] = deadline_ms */
   0,   /* field[0] = dispatch_id */
-  3,   /* field[3] = fence */
-  1,   /* field[1] = incarnation */
-  2,   /* field[2] = pool_epoch */
-  5,   /* field[5] = prompt */
-  8,   /* field[8] = request */
-  6,   /* field[6] = resume */
+  2,   /* field[2] = fence */
+  1,   /* field[1] = pool_epoch */
+  4,   /* field[4] = prompt */
+  7,   /* field[7] = request */
+  5,   /* field[5] = resume */
 };
-static const ProtobufCIntRange aps__dispatch__number_ranges[1 + 1] =
+static const ProtobufCIntRange aps__dispatch__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 3, 1 },
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor aps__dispatch__descriptor =
 {
@@ -2278,10 +2266,10 @@
   "Aps__Dispatch",
   "aps",
   sizeof(Aps__Dispatch),
-  9,
+  8,
   aps__dispatch__field_descriptors,
   aps__dispatch__field_indices_by_name,
-  1,  aps__dispatch__number_ranges,
+  2,  aps__dispatch__number_ranges,
   (ProtobufCMessageInit) aps__dispatch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -4021,20 +4009,8 @@
   (ProtobufCMessageInit) aps__config_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aps__mark_row__field_descriptors[4] =
+static const ProtobufCFieldDescriptor aps__mark_row__field_descriptors[1] =
 {
-  {
-    "account",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Aps__MarkRow, account),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "marks",
     2,
@@ -4047,41 +4023,14 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "servers",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Aps__MarkRow, n_servers),
-    offsetof(Aps__MarkRow, servers),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "when_ms",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Aps__MarkRow, when_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned aps__mark_row__field_indices_by_name[] = {
-  0,   /* field[0] = account */
-  1,   /* field[1] = marks */
-  2,   /* field[2] = servers */
-  3,   /* field[3] = when_ms */
+  0,   /* field[0] = marks */
 };
 static const ProtobufCIntRange aps__mark_row__number_ranges[1 + 1] =
 {
-  { 1, 0 },
-  { 0, 4 }
+  { 2, 0 },
+  { 0, 1 }
 };
 const ProtobufCMessageDescriptor aps__mark_row__descriptor =
 {
@@ -4091,7 +4040,7 @@
   "Aps__MarkRow",
   "aps",
   sizeof(Aps__MarkRow),
-  4,
+  1,
   aps__mark_row__field_descriptors,
   aps__mark_row__field_indices_by_name,
   1,  aps__mark_row__number_ranges,
--- a/proto/apricot.pb-c.h
+++ b/proto/apricot.pb-c.h
@@ -238,10 +238,6 @@
 {
   ProtobufCMessage base;
   uint64_t dispatch_id;
-  /*
-   * of the owner's instance
-   */
-  uint64_t incarnation;
   /*
    * epoch of the dispatcher this is meant for
    */
@@ -267,7 +263,7 @@
 };
 #define APS__DISPATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&aps__dispatch__descriptor) \
-    , 0, 0, 0, 0, 0, {0,NULL}, {0,NULL}, 0, NULL }
+    , 0, 0, 0, 0, {0,NULL}, {0,NULL}, 0, NULL }
 
 
 struct  Aps__DispatchChunk
@@ -576,15 +572,11 @@
 struct  Aps__MarkRow
 {
   ProtobufCMessage base;
-  char *account;
   uint32_t marks;
-  size_t n_servers;
-  char **servers;
-  uint64_t when_ms;
 };
 #define APS__MARK_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&aps__mark_row__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0 }
+    , 0 }
 
 
 /*
