Read once more: dead code, derived state and second copies go

Ruled out: sharing the table of struct nod_io between serve/loop.c and the fake world: they are two implementations of it. The charge for fair shares is still an estimate that is not corrected afterwards; doing so would change behaviour.

--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -77,19 +77,27 @@
 	wld_destroy(w);
 }
 
-/* Programs that one owner holds, each with a history of four turns. */
-static void held_programs(int programs)
+/* A world in which neither servers nor rates are short. */
+static struct wld_params roomy(int nodes)
 {
 	struct wld_params p = wld_defaults();
-	struct world *w;
-	size_t before;
-	double cpu;
 
-	p.nodes = 1;
+	p.nodes = nodes;
 	p.engines = 30;
 	p.max = 64;
 	p.rate = 1e6;
 	p.burst = 1e6;
+	return p;
+}
+
+/* Programs that one owner holds, each with a history of four turns. */
+static void held_programs(int programs)
+{
+	struct wld_params p = roomy(1);
+	struct world *w;
+	size_t before;
+	double cpu;
+
 	w = wld_create(&p);
 	wld_run_for(w, SETTLE_MS);
 	before = heap();
@@ -116,7 +124,7 @@
 /* Turns a second through the whole path. */
 static void running_programs(int programs)
 {
-	struct wld_params p = wld_defaults();
+	struct wld_params p = roomy(4);
 	struct world *w;
 	uint64_t done;
 	uint64_t bytes;
@@ -125,11 +133,6 @@
 	double idle;
 	double cpu;
 
-	p.nodes = 4;
-	p.engines = 30;
-	p.max = 64;
-	p.rate = 1e6;
-	p.burst = 1e6;
 	w = wld_create(&p);
 	wld_run_for(w, SETTLE_MS);
 	cpu = cpu_s();
@@ -246,17 +249,12 @@
 /* Turns that do almost nothing, so that commits are what they wait for. */
 static void group_commit(int programs)
 {
-	struct wld_params p = wld_defaults();
+	struct wld_params p = roomy(12);
 	double total_ms = 0;
 	uint64_t writes;
 	uint64_t done;
 	struct world *w;
 
-	p.nodes = 12;
-	p.engines = 30;
-	p.max = 64;
-	p.rate = 1e6;
-	p.burst = 1e6;
 	w = wld_create(&p);
 	wld_run_for(w, SETTLE_MS);
 	for (int i = 0; i < programs; i++) {
--- a/decide/commit.c
+++ b/decide/commit.c
@@ -251,9 +251,7 @@
 	self->state = commit->state;
 	self->txn = commit->txn;
 	row->key = commit->row_key;
-	row->value.len = aps__instance_row__get_packed_size(self);
-	*buf = g_malloc(row->value.len);
-	aps__instance_row__pack(self, *buf);
+	*buf = msg_pack(&self->base, &row->value.len);
 	row->value.data = *buf;
 }
 
--- a/decide/entry.c
+++ b/decide/entry.c
@@ -19,9 +19,8 @@
 	uint64_t sent_epoch; /* of the owner at the last sending, 0 before */
 	uint64_t sent_incarnation;
 	bool sent;
-	bool owner_refused; /* the last owner vouches that it did not run */
-	uint32_t copies;    /* sent to it and not vouched for */
-	bool uncertain;	    /* an earlier owner may have had it run */
+	uint32_t copies; /* sent to it and not vouched for */
+	bool uncertain;	 /* an earlier owner may have had it run */
 	GByteArray *streamed;
 };
 
@@ -164,7 +163,7 @@
 		call->send_due_ms = nod_now(entry->node) + ENT_MOVED_MS;
 		/* Each reply vouches for one copy, by one incarnation. */
 		if (incarnation == call->sent_incarnation && call->copies > 0)
-			call->owner_refused = --call->copies == 0;
+			call->copies--;
 		mem_poll_soon(entry->node->member);
 		return;
 	}
@@ -199,7 +198,6 @@
 	if (!nod_send_shard(node, call->shard, &peer))
 		return;
 	call->sent = true;
-	call->owner_refused = false;
 	if (mem_epoch(node->member, call->shard) != call->sent_epoch) {
 		call->uncertain |= call->copies > 0;
 		call->copies = 0;
@@ -229,7 +227,7 @@
 		fail(entry, call, 504, "deadline passed");
 		return;
 	}
-	if (epoch != call->sent_epoch && !call->owner_refused)
+	if (epoch != call->sent_epoch && call->copies > 0)
 		call->send_due_ms = MIN(call->send_due_ms, now);
 	if (now < call->send_due_ms || epoch == 0)
 		return;
--- a/decide/fair.c
+++ b/decide/fair.c
@@ -142,12 +142,6 @@
 	account->vtime += cost / share(fair, account);
 }
 
-void fair_correct(struct fair *fair, struct fair_account *account,
-		  double difference)
-{
-	account->vtime += difference / share(fair, account);
-}
-
 /* What queued up while the ledger was silent is not over the rate. */
 static void note_gap(struct fair_account *account, int64_t now)
 {
--- a/decide/fair.h
+++ b/decide/fair.h
@@ -52,9 +52,7 @@
 	uint64_t run_id;
 	uint32_t tries;
 	uint32_t cached; /**< tokens expected in the server's cache */
-	double cost;	 /**< charged when it started */
 	bool solo;	 /**< runs alone on its server */
-	bool shared;	 /**< another run was under way beside it */
 	char *server;
 	GByteArray *text; /**< the answer so far */
 	Aps__Outcome *outcome;
@@ -112,10 +110,6 @@
 /** Spends a token of @p account and charges @p cost for its share. */
 void fair_charge(struct fair *fair, struct fair_account *account, double cost);
 
-/** Corrects a charge by @p difference once the actual cost is known. */
-void fair_correct(struct fair *fair, struct fair_account *account,
-		  double difference);
-
 /** Takes up a grant. */
 void fair_on_grant(struct fair *fair, const Aps__Grant *grant);
 
--- a/decide/member.c
+++ b/decide/member.c
@@ -378,9 +378,7 @@
 		gone = *dead->row;
 		gone.state = APS__INSTANCE_STATE__DEAD;
 		rows[1].key = dead_key;
-		rows[1].value.len = aps__instance_row__get_packed_size(&gone);
-		gone_buf = g_malloc(rows[1].value.len);
-		aps__instance_row__pack(&gone, gone_buf);
+		gone_buf = msg_pack(&gone.base, &rows[1].value.len);
 		rows[1].value.data = gone_buf;
 		write.conditions_len = 2;
 		write.rows_len = 2;
--- a/decide/node.c
+++ b/decide/node.c
@@ -613,11 +613,6 @@
 	return node->counters[counter];
 }
 
-const struct rules *nod_rules(const struct node *node)
-{
-	return node->rules;
-}
-
 char *nod_status(const struct node *node)
 {
 	GString *out = g_string_new(NULL);
--- a/decide/node.h
+++ b/decide/node.h
@@ -206,9 +206,6 @@
 /** Returns a counter. */
 uint64_t nod_counter(const struct node *node, enum nod_counter counter);
 
-/** Returns the rules in force, or NULL before the first revision. */
-const struct rules *nod_rules(const struct node *node);
-
 /** Returns a JSON text of shards, servers and programs; g_free() it. */
 char *nod_status(const struct node *node);
 
--- a/decide/pool_run.c
+++ b/decide/pool_run.c
@@ -8,20 +8,6 @@
 	POL_TRIES_MAX = 4, /* tries of a job that no server ran */
 };
 
-static void mark_shared(struct pools *pools, const struct job *job)
-{
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, pools->runs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct job *other = value;
-
-		if (g_strcmp0(other->server, job->server) == 0)
-			other->shared = true;
-	}
-}
-
 void pol_start(struct pool *pool, struct job *job, struct server *server)
 {
 	struct pools *pools = pool->set;
@@ -39,8 +25,7 @@
 			      .prompt = job->msg->prompt};
 
 	fair_remove(job);
-	job->cost = plc_cost(pool, job, server);
-	fair_charge(pool->fair, job->account, job->cost);
+	fair_charge(pool->fair, job->account, plc_cost(pool, job, server));
 	job->state = JOB_RUNNING;
 	job->started_ms = nod_now(node);
 	job->first_ms = 0;
@@ -49,9 +34,6 @@
 	job->cached = srv_cached(server, request->program);
 	g_free(job->server);
 	job->server = g_strdup(server->name);
-	job->shared = server->inflight > 0;
-	if (job->shared)
-		mark_shared(pools, job);
 	srv_started(server, job->solo);
 	g_hash_table_insert(pools->runs, &job->run_id, job);
 	run.run_id = job->run_id;
--- a/decide/program.c
+++ b/decide/program.c
@@ -150,9 +150,7 @@
 	row.children = (Aps__Child **)program->children->pdata;
 	row.n_segments = program->segments->len;
 	row.segments = (char **)program->segments->pdata;
-	*len = aps__program_row__get_packed_size(&row);
-	buf = g_malloc(*len + 1);
-	aps__program_row__pack(&row, buf);
+	buf = msg_pack(&row.base, len);
 	g_free(refs);
 	g_free(ref_ptrs);
 	return buf;
@@ -259,15 +257,11 @@
 	Aps__Segment segment = APS__SEGMENT__INIT;
 	guint start = tail_start(program);
 	const Aps__TurnRecord *first = program->records->pdata[start];
-	uint8_t *buf;
 
 	segment.n_turns = PRG_SEGMENT_TURNS;
 	segment.turns = (Aps__TurnRecord **)program->records->pdata + start;
 	*name = g_strdup_printf("h/%s/%06" PRIu32, program->id, first->turn);
-	*len = aps__segment__get_packed_size(&segment);
-	buf = g_malloc(*len + 1);
-	aps__segment__pack(&segment, buf);
-	return buf;
+	return msg_pack(&segment.base, len);
 }
 
 void prg_segment_moved(struct program *program, const char *name)
--- a/decide/rules.c
+++ b/decide/rules.c
@@ -51,7 +51,7 @@
 	g_string_append_c(line->errors, '\n');
 }
 
-static bool name_ok(const char *name)
+bool rul_name_ok(const char *name)
 {
 	size_t len = strlen(name);
 
@@ -86,7 +86,7 @@
 
 	if (value == NULL)
 		fault(line, "field %s is missing", name);
-	else if (!name_ok(value))
+	else if (!rul_name_ok(value))
 		fault(line, "field %s: '%s' is not a name", name, value);
 	return g_strdup(value != NULL ? value : "");
 }
@@ -299,7 +299,7 @@
 		return;
 	}
 	if (line->words < 2 || line->words % 2 != 0 ||
-	    (!name_ok(line->word[1]) && parse != line_key)) {
+	    (!rul_name_ok(line->word[1]) && parse != line_key)) {
 		fault(line, "not KEYWORD NAME [FIELD VALUE]...");
 		return;
 	}
--- a/decide/rules.h
+++ b/decide/rules.h
@@ -90,6 +90,9 @@
 /** Frees rules; NULL is allowed. */
 void rul_destroy(struct rules *rules);
 
+/** Returns whether @p name is letters, digits and -_. within its length. */
+bool rul_name_ok(const char *name);
+
 /** Returns the account @p name, or NULL. */
 const struct rul_account *rul_account(const struct rules *rules,
 				      const char *name);
--- a/decide/server.c
+++ b/decide/server.c
@@ -201,13 +201,3 @@
 		g_hash_table_remove(server->cache,
 				    g_queue_pop_tail(server->lru));
 }
-
-void srv_uncache(struct server *server, const char *program)
-{
-	void *key;
-
-	if (!g_hash_table_lookup_extended(server->cache, program, &key, NULL))
-		return;
-	g_queue_remove(server->lru, key);
-	g_hash_table_remove(server->cache, program);
-}
--- a/decide/server.h
+++ b/decide/server.h
@@ -117,7 +117,4 @@
 /** Notes that @p tokens of @p program are cached. */
 void srv_cache(struct server *server, const char *program, uint32_t tokens);
 
-/** Forgets @p program. */
-void srv_uncache(struct server *server, const char *program);
-
 #endif
--- a/serve/http.c
+++ b/serve/http.c
@@ -28,7 +28,6 @@
 	char *id;
 	uint64_t boot;
 	gint serial;
-	gint serving; /* calls under way in handlers */
 };
 
 /* A call being answered. */
@@ -349,9 +348,7 @@
 		return 400;
 	input->body = body;
 	input->body_len = len;
-	g_atomic_int_inc(&http->serving);
 	parse_and_serve(http, conn, input);
-	g_atomic_int_add(&http->serving, -1);
 	g_free(body);
 	return 200;
 }
--- a/serve/http_parse.c
+++ b/serve/http_parse.c
@@ -35,20 +35,6 @@
 	return false;
 }
 
-static bool name_ok(const char *name)
-{
-	size_t len = strlen(name);
-
-	if (len == 0 || len > RUL_NAME_MAX)
-		return false;
-	for (; *name != '\0'; name++) {
-		if (!isalnum((unsigned char)*name) &&
-		    strchr("-_.", *name) == NULL)
-			return false;
-	}
-	return true;
-}
-
 static bool number(const char *text, uint64_t max, uint64_t *value)
 {
 	char *end;
@@ -219,7 +205,7 @@
 	char hex[2 * sizeof(hash) + 1];
 
 	if (in->program != NULL) {
-		if (!name_ok(in->program))
+		if (!rul_name_ok(in->program))
 			return refuse(p, 400, "X-Program: not a name");
 		call->program =
 			g_strdup_printf("%s/%s", call->account, in->program);
@@ -258,7 +244,7 @@
 	p->call->deadline_ms = (uint32_t)value;
 	if (in->parent == NULL)
 		return true;
-	if (!name_ok(in->parent))
+	if (!rul_name_ok(in->parent))
 		return refuse(p, 400, "X-Parent: not a name");
 	p->call->parent =
 		g_strdup_printf("%s/%s", p->call->account, in->parent);
--- a/test/sim/clients.c
+++ b/test/sim/clients.c
@@ -195,7 +195,6 @@
 	prog->called_ms = w->now_ms;
 	prog->node = n->index;
 	prog->call_id = 0;
-	prog->timeout_id++;
 	g_byte_array_set_size(prog->streamed, 0);
 	if (w->verbose)
 		printf("%8" G_GINT64_FORMAT " P%d.%d called at %s\n", w->now_ms,
--- a/test/sim/clients.h
+++ b/test/sim/clients.h
@@ -47,7 +47,6 @@
 	uint32_t status;  /**< of the reply that stopped it, 0 if none */
 	uint64_t call_id; /**< 0 if no call is under way */
 	int pinned; /**< number of the only instance it calls, 0 for any */
-	uint64_t timeout_id;
 	GByteArray *streamed;
 	GPtrArray *bodies; /**< of each turn */
 	GArray *answered;  /**< bool for each turn */
