--- a/Makefile
+++ b/Makefile
@@ -1,29 +1,30 @@
 # Builds apricotshift and its tests. SAN=1 adds sanitizers.
 CC ?= gcc
 B = build$(if $(SAN),-san)
-PKGS = glib-2.0 json-c libcurl liburcu libprotobuf-c libsodium
+PKGS = glib-2.0 json-c libcurl libevent liburcu libprotobuf-c libsodium
 CFLAGS ?= -O2 -g
 CFLAGS += -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wformat=2 -I. $(shell pkg-config --cflags $(PKGS))
-LDLIBS = $(shell pkg-config --libs $(PKGS)) -lcivetweb -lpthread -lm
+LDLIBS = $(shell pkg-config --libs $(PKGS)) -lcivetweb -lhttp_parser -lpthread -lm
 ifdef SAN
 CFLAGS += -fsanitize=address,undefined -fno-omit-frame-pointer
 LDFLAGS += -fsanitize=address,undefined
 endif
 
-DECIDE = $(wildcard decide/*.c) proto/apricot.pb-c.c
+DECIDE = $(wildcard decide/*.c) proto/apricot.pb-c.c proto/rows.pb-c.c
+TABLE = $(wildcard table/*.c)
 PLATFORM = $(wildcard platform/*.c)
 SERVE = $(wildcard serve/*.c)
 APP = $(wildcard apricotshift/*.c)
 STANDIN = $(wildcard test/standins/*.c)
 SIM = $(wildcard test/sim/*.c)
 obj = $(patsubst %.c,$(B)/obj/%.o,$(1))
-CORE = $(call obj,$(DECIDE) $(PLATFORM))
+CORE = $(call obj,$(DECIDE) $(TABLE))
 TESTS = $(patsubst test/unit/%.c,$(B)/unit/%,$(wildcard test/unit/test_*.c))
 
 all: $(B)/apricotshift $(B)/standin $(B)/scenario $(B)/load $(B)/slopes
 
-$(B)/apricotshift: $(CORE) $(call obj,$(SERVE) $(APP))
+$(B)/apricotshift: $(CORE) $(call obj,$(PLATFORM) $(SERVE) $(APP))
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(B)/standin: $(CORE) $(call obj,$(filter-out serve/%,$(STANDIN)))
@@ -38,7 +39,7 @@
 $(B)/slopes: $(CORE) $(call obj,$(SIM) test/standins/model.c bench/slopes.c)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(B)/unit/%: $(CORE) $(B)/obj/test/unit/%.o $(call obj,$(filter-out serve/http.c serve/loop.c serve/outbound.c,$(SERVE)))
+$(B)/unit/%: $(CORE) $(B)/obj/test/unit/%.o $(call obj,$(PLATFORM) $(filter-out serve/http.c serve/loop.c serve/outbound.c,$(SERVE)))
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 
@@ -63,7 +64,7 @@
 	$(CC) $(CFLAGS) -DREPLAY $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 generate:
-	cd proto && protoc-c --c_out=. apricot.proto
+	cd proto && protoc-c --c_out=. apricot.proto rows.proto
 
 clean:
 	rm -rf build build-san
--- a/apricotshift/cmd.h
+++ b/apricotshift/cmd.h
@@ -15,6 +15,8 @@
 
 /** Runs one instance. */
 int cmd_serve(int argc, char **argv);
+/** Runs one instance on machines that bring the store and the balancer. */
+int cmd_gateway(int argc, char **argv);
 /** Checks a rules file. */
 int cmd_check(int argc, char **argv);
 /** Makes a rules file the next revision. */
--- a/apricotshift/cmd_rules.c
+++ b/apricotshift/cmd_rules.c
@@ -10,8 +10,8 @@
 #include "cmd.h"
 #include "decide/rules.h"
 #include "options.h"
-#include "platform/revision.h"
-#include "platform/tableclient.h"
+#include "table/revision.h"
+#include "table/tableclient.h"
 
 enum {
 	APPLY_TRIES = 5,
--- a/apricotshift/cmd_status.c
+++ b/apricotshift/cmd_status.c
@@ -3,7 +3,7 @@
 
 #include "cmd.h"
 #include "options.h"
-#include "platform/tableclient.h"
+#include "table/tableclient.h"
 
 int cmd_status(int argc, char **argv)
 {
--- a/apricotshift/main.c
+++ b/apricotshift/main.c
@@ -17,6 +17,8 @@
 	const char *help;
 } commands[] = {
 	{"serve", cmd_serve, "-c SETTINGS [-n]     run one instance"},
+	{"gateway", cmd_gateway,
+	 "-c SETTINGS [-n]     run one instance on a platform"},
 	{"check", cmd_check, "RULES                check a rules file"},
 	{"apply", cmd_apply,
 	 "-p URL -r REV -w WHO RULES  make it the next revision"},
--- /dev/null
+++ b/decide/catalog.c
@@ -0,0 +1,221 @@
+/** @file catalog.c @brief Routes, services, accounts and keys. */
+#include <string.h>
+
+#include "catalog.h"
+
+struct cat {
+	int refs;
+	int64_t version;
+	struct cat_limits limits;
+	GHashTable *services; /* name -> struct cat_service */
+	GHashTable *hosts;    /* host -> GPtrArray of routes, longest first */
+	GHashTable *accounts; /* name -> struct cat_account */
+	GHashTable *keys;     /* key -> struct cat_account, borrowed */
+	guint routes;
+};
+
+static void service_free(gpointer p)
+{
+	struct cat_service *service = p;
+
+	g_free(service->name);
+	g_free(service->health_path);
+	g_free(service);
+}
+
+static void route_free(gpointer p)
+{
+	struct cat_route *route = p;
+
+	for (guint i = 0; i < route->targets->len; i++)
+		g_free(g_array_index(route->targets, struct cat_target, i)
+			       .service);
+	g_array_free(route->targets, TRUE);
+	g_free(route->name);
+	g_free(route->host);
+	g_free(route->prefix);
+	g_free(route);
+}
+
+static void account_free(gpointer p)
+{
+	struct cat_account *account = p;
+
+	g_free(account->name);
+	g_free(account);
+}
+
+static void routes_free(gpointer p)
+{
+	g_ptr_array_free(p, TRUE);
+}
+
+struct cat *cat_create(int64_t version, const struct cat_limits *limits)
+{
+	struct cat *cat = g_new0(struct cat, 1);
+
+	cat->refs = 1;
+	cat->version = version;
+	cat->limits = *limits;
+	cat->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					      service_free);
+	cat->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   routes_free);
+	cat->accounts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					      account_free);
+	cat->keys =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return cat;
+}
+
+struct cat *cat_ref(struct cat *cat)
+{
+	cat->refs++;
+	return cat;
+}
+
+void cat_unref(struct cat *cat)
+{
+	if (cat == NULL || --cat->refs > 0)
+		return;
+	g_hash_table_destroy(cat->keys);
+	g_hash_table_destroy(cat->accounts);
+	g_hash_table_destroy(cat->hosts);
+	g_hash_table_destroy(cat->services);
+	g_free(cat);
+}
+
+void cat_add_service(struct cat *cat, const struct cat_service *service)
+{
+	struct cat_service *copy = g_new(struct cat_service, 1);
+
+	*copy = *service;
+	g_hash_table_replace(cat->services, copy->name, copy);
+}
+
+static gint by_prefix_length(gconstpointer a, gconstpointer b)
+{
+	const struct cat_route *const *x = a;
+	const struct cat_route *const *y = b;
+
+	return (gint)strlen((*y)->prefix) - (gint)strlen((*x)->prefix);
+}
+
+void cat_add_route(struct cat *cat, const struct cat_route *route)
+{
+	struct cat_route *copy = g_new(struct cat_route, 1);
+	char *host = g_ascii_strdown(route->host, -1);
+	GPtrArray *routes = g_hash_table_lookup(cat->hosts, host);
+
+	*copy = *route;
+	if (routes == NULL) {
+		routes = g_ptr_array_new_with_free_func(route_free);
+		g_hash_table_insert(cat->hosts, g_strdup(host), routes);
+	}
+	g_ptr_array_add(routes, copy);
+	cat->routes++;
+	g_free(host);
+}
+
+void cat_seal(struct cat *cat)
+{
+	GHashTableIter it;
+	gpointer routes;
+
+	g_hash_table_iter_init(&it, cat->hosts);
+	while (g_hash_table_iter_next(&it, NULL, &routes))
+		g_ptr_array_sort(routes, by_prefix_length);
+}
+
+struct cat_account *cat_add_account(struct cat *cat,
+				    const struct cat_account *account)
+{
+	struct cat_account *copy = g_new(struct cat_account, 1);
+
+	*copy = *account;
+	g_hash_table_replace(cat->accounts, copy->name, copy);
+	return copy;
+}
+
+void cat_add_key(struct cat *cat, const char *key, struct cat_account *account)
+{
+	g_hash_table_replace(cat->keys, g_strdup(key), account);
+}
+
+int64_t cat_version(const struct cat *cat)
+{
+	return cat->version;
+}
+
+const struct cat_limits *cat_limits(const struct cat *cat)
+{
+	return &cat->limits;
+}
+
+void cat_sizes(const struct cat *cat, guint *routes, guint *services,
+	       guint *accounts)
+{
+	*routes = cat->routes;
+	*services = g_hash_table_size(cat->services);
+	*accounts = g_hash_table_size(cat->accounts);
+}
+
+const struct cat_route *cat_find_route(const struct cat *cat, const char *host,
+				       const char *path)
+{
+	const char *port = strchr(host, ':');
+	char *name = g_ascii_strdown(host, port ? port - host : -1);
+	GPtrArray *routes = g_hash_table_lookup(cat->hosts, name);
+	size_t len = strcspn(path, "?");
+
+	g_free(name);
+	for (guint i = 0; routes != NULL && i < routes->len; i++) {
+		const struct cat_route *route = g_ptr_array_index(routes, i);
+		size_t prefix = strlen(route->prefix);
+
+		if (prefix <= len && memcmp(route->prefix, path, prefix) == 0)
+			return route;
+	}
+	return NULL;
+}
+
+const struct cat_account *cat_find_key(const struct cat *cat, const char *key)
+{
+	return g_hash_table_lookup(cat->keys, key);
+}
+
+const struct cat_account *cat_find_account(const struct cat *cat,
+					   const char *name)
+{
+	return g_hash_table_lookup(cat->accounts, name);
+}
+
+const struct cat_service *cat_find_service(const struct cat *cat,
+					   const char *name)
+{
+	return g_hash_table_lookup(cat->services, name);
+}
+
+const struct cat_service *cat_choose(const struct cat *cat,
+				     const struct cat_route *route,
+				     uint64_t hash)
+{
+	uint64_t total = 0;
+	uint64_t at;
+
+	for (guint i = 0; i < route->targets->len; i++)
+		total += g_array_index(route->targets, struct cat_target, i)
+				 .weight;
+	if (total == 0)
+		return NULL;
+	at = hash % total;
+	for (guint i = 0; i < route->targets->len; i++) {
+		const struct cat_target *target =
+			&g_array_index(route->targets, struct cat_target, i);
+
+		if (at < target->weight)
+			return cat_find_service(cat, target->service);
+		at -= target->weight;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/decide/fleet.c
@@ -0,0 +1,392 @@
+/** @file fleet.c @brief Beliefs about backend servers, and placement. */
+#include <math.h>
+#include <string.h>
+
+#include "fleet.h"
+
+enum {
+	TOLD_FRESH_MS = 400,   /* a server's word on its load fades after it */
+	AVOID_FIRST_MS = 250,  /* after a first failure */
+	AVOID_MOST_MS = 2000,  /* the list is up to date again after that */
+	REPLACED_MS = 3000,    /* until the list names the new server */
+	COLD_WINDOW_MS = 1000, /* the window in which a cold server is judged */
+	SEND_GAP_MS = 150,     /* sends may arrive closer than they left */
+};
+
+/* What a server that is full costs beside one that is not. */
+#define FULL_MS 500.0
+
+struct flt {
+	flt_drop_idle *drop;
+	GHashTable *servers;  /* id -> struct flt_server */
+	GHashTable *services; /* name -> GPtrArray of struct flt_server */
+	GHashTable *out;      /* zones taken out */
+};
+
+static void services_free(gpointer p)
+{
+	g_ptr_array_free(p, TRUE);
+}
+
+struct flt *flt_create(flt_drop_idle *drop)
+{
+	struct flt *flt = g_new0(struct flt, 1);
+
+	flt->drop = drop;
+	flt->servers = g_hash_table_new(g_str_hash, g_str_equal);
+	flt->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      services_free);
+	flt->out = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return flt;
+}
+
+struct flt_server *flt_ref(struct flt_server *server)
+{
+	server->refs++;
+	return server;
+}
+
+void flt_unref(struct flt_server *server)
+{
+	if (--server->refs > 0)
+		return;
+	server->drop(server);
+	g_free(server->id);
+	g_free(server->service);
+	g_free(server->address);
+	g_free(server->zone);
+	g_queue_free_full(server->sends, g_free);
+	g_queue_free(server->idle);
+	g_free(server);
+}
+
+static GPtrArray *service_servers(struct flt *flt, const char *name)
+{
+	GPtrArray *servers = g_hash_table_lookup(flt->services, name);
+
+	if (servers == NULL) {
+		servers = g_ptr_array_new();
+		g_hash_table_insert(flt->services, g_strdup(name), servers);
+	}
+	return servers;
+}
+
+static void unlist(struct flt *flt, struct flt_server *server)
+{
+	server->listed = false;
+	g_ptr_array_remove(service_servers(flt, server->service), server);
+	flt->drop(server);
+	flt_unref(server);
+}
+
+void flt_destroy(struct flt *flt)
+{
+	GHashTableIter it;
+	gpointer server;
+
+	if (flt == NULL)
+		return;
+	g_hash_table_iter_init(&it, flt->servers);
+	while (g_hash_table_iter_next(&it, NULL, &server)) {
+		g_hash_table_iter_steal(&it);
+		unlist(flt, server);
+	}
+	g_hash_table_destroy(flt->servers);
+	g_hash_table_destroy(flt->services);
+	g_hash_table_destroy(flt->out);
+	g_free(flt);
+}
+
+static struct flt_server *server_create(struct flt *flt,
+					const struct flt_entry *entry)
+{
+	struct flt_server *server = g_new0(struct flt_server, 1);
+
+	server->refs = 1;
+	server->drop = flt->drop;
+	server->id = g_strdup(entry->id);
+	server->service = g_strdup(entry->service);
+	server->address = g_strdup(entry->address);
+	server->zone = g_strdup(entry->zone);
+	server->born_ms = entry->born_ms;
+	server->listed = true;
+	server->evacuated = g_hash_table_contains(flt->out, entry->zone);
+	server->sends = g_queue_new();
+	server->idle = g_queue_new();
+	server->pace = 1.0;
+	g_hash_table_insert(flt->servers, server->id, server);
+	g_ptr_array_add(service_servers(flt, server->service), server);
+	return server;
+}
+
+/* Whether an entry speaks of the same start of the same server. */
+static bool same_server(const struct flt_server *server,
+			const struct flt_entry *entry)
+{
+	return server->born_ms == entry->born_ms &&
+	       strcmp(server->service, entry->service) == 0 &&
+	       strcmp(server->address, entry->address) == 0 &&
+	       strcmp(server->zone, entry->zone) == 0;
+}
+
+bool flt_put(struct flt *flt, const struct flt_entry *entry, int64_t now)
+{
+	struct flt_server *server =
+		g_hash_table_lookup(flt->servers, entry->id);
+	bool changed;
+
+	if (server != NULL && !same_server(server, entry)) {
+		flt_remove(flt, entry->id);
+		server = NULL;
+	}
+	changed = server == NULL || server->draining != entry->draining;
+	if (server == NULL)
+		server = server_create(flt, entry);
+	server->draining = entry->draining;
+	server->slots = MAX(entry->slots, 1);
+	if (entry->cold_ms > 0)
+		server->cold_until =
+			MAX(server->cold_until, now + entry->cold_ms);
+	return changed;
+}
+
+bool flt_remove(struct flt *flt, const char *id)
+{
+	struct flt_server *server = g_hash_table_lookup(flt->servers, id);
+
+	if (server == NULL)
+		return false;
+	g_hash_table_remove(flt->servers, id);
+	unlist(flt, server);
+	return true;
+}
+
+void flt_keep_only(struct flt *flt, GHashTable *ids)
+{
+	GHashTableIter it;
+	gpointer id;
+	gpointer server;
+
+	g_hash_table_iter_init(&it, flt->servers);
+	while (g_hash_table_iter_next(&it, &id, &server)) {
+		if (g_hash_table_contains(ids, id))
+			continue;
+		g_hash_table_iter_steal(&it);
+		unlist(flt, server);
+	}
+}
+
+void flt_evacuate(struct flt *flt, GHashTable *zones, int64_t now,
+		  int64_t cold_ms)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_remove_all(flt->out);
+	g_hash_table_iter_init(&it, zones);
+	while (g_hash_table_iter_next(&it, &p, NULL))
+		g_hash_table_add(flt->out, g_strdup(p));
+	g_hash_table_iter_init(&it, flt->servers);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct flt_server *server = p;
+		bool out = g_hash_table_contains(flt->out, server->zone);
+
+		if (server->evacuated && !out)
+			server->cold_until =
+				MAX(server->cold_until, now + cold_ms);
+		server->evacuated = out;
+	}
+}
+
+guint flt_count(const struct flt *flt)
+{
+	return g_hash_table_size(flt->servers);
+}
+
+void flt_foreach(struct flt *flt, void (*fn)(struct flt_server *, void *),
+		 void *arg)
+{
+	GHashTableIter it;
+	gpointer server;
+
+	g_hash_table_iter_init(&it, flt->servers);
+	while (g_hash_table_iter_next(&it, NULL, &server))
+		fn(server, arg);
+}
+
+static bool in_service(const struct flt_server *server)
+{
+	return server->listed && !server->draining && !server->evacuated;
+}
+
+static bool was_tried(const struct flt_server *server,
+		      const struct flt_query *query)
+{
+	for (guint i = 0; query->tried != NULL && i < query->tried->len; i++) {
+		if (strcmp(g_ptr_array_index(query->tried, i), server->id) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void forget_sends(struct flt_server *server, int64_t now)
+{
+	int64_t since = now - COLD_WINDOW_MS - SEND_GAP_MS;
+
+	while (!g_queue_is_empty(server->sends) &&
+	       *(int64_t *)g_queue_peek_head(server->sends) <= since)
+		g_free(g_queue_pop_head(server->sends));
+}
+
+/* Whether this instance's share of what a cold server bears is used up. */
+static bool cold_and_busy(struct flt_server *server,
+			  const struct flt_query *query, int64_t now)
+{
+	double share;
+
+	if (query->cold_per_s <= 0 || now >= server->cold_until)
+		return false;
+	forget_sends(server, now);
+	share = query->cold_per_s / MAX(query->instances, 1);
+	return g_queue_get_length(server->sends) >= MAX(1, (guint)share);
+}
+
+/* Requests at the server: its own word, corrected by what was sent since. */
+static double load_of(const struct flt_server *server, int64_t now)
+{
+	double told = server->told_running + server->told_waiting;
+	double since = (double)server->running - (double)server->told_own;
+	double age = (double)(now - server->told_at);
+
+	if (server->told_at == 0 || age > 4.0 * TOLD_FRESH_MS)
+		return server->running;
+	told *= exp(-age / TOLD_FRESH_MS);
+	return MAX(told + since, (double)server->running);
+}
+
+/* A different order of the servers for each affinity, the same everywhere. */
+static bool prefers(const char *id, uint64_t affinity, const char *other)
+{
+	uint64_t a = g_str_hash(id) * 0x9e3779b97f4a7c15ULL ^ affinity;
+	uint64_t b = g_str_hash(other) * 0x9e3779b97f4a7c15ULL ^ affinity;
+
+	a *= 0xff51afd7ed558ccdULL;
+	b *= 0xff51afd7ed558ccdULL;
+	return (a ^ (a >> 33)) > (b ^ (b >> 33));
+}
+
+static double cost_of(const struct flt_server *server,
+		      const struct flt_query *query, int64_t now)
+{
+	double load = load_of(server, now);
+	double cost = load * query->work_ms * server->pace;
+
+	if (load >= server->slots)
+		cost += FULL_MS + 50.0 * (load - server->slots);
+	if (strcmp(server->zone, query->zone) != 0)
+		cost += query->away_ms;
+	if (query->sticky != NULL && strcmp(server->id, query->sticky) != 0)
+		cost += query->affinity_ms;
+	if (now < server->avoid_until)
+		cost += 1000.0;
+	return cost;
+}
+
+struct flt_server *flt_pick(struct flt *flt, const struct flt_query *query,
+			    int64_t now, enum flt_none *why)
+{
+	GPtrArray *servers = g_hash_table_lookup(flt->services, query->service);
+	struct flt_server *best = NULL;
+	double best_cost = 0;
+
+	*why = FLT_NO_SERVER;
+	for (guint i = 0; servers != NULL && i < servers->len; i++) {
+		struct flt_server *server = g_ptr_array_index(servers, i);
+		double cost;
+
+		if (!in_service(server))
+			continue;
+		if (was_tried(server, query)) {
+			if (*why == FLT_NO_SERVER)
+				*why = FLT_ALL_TRIED;
+			continue;
+		}
+		if (cold_and_busy(server, query, now)) {
+			*why = FLT_ALL_COLD;
+			continue;
+		}
+		cost = cost_of(server, query, now);
+		if (best == NULL || cost < best_cost ||
+		    (cost == best_cost &&
+		     prefers(server->id, query->affinity, best->id))) {
+			best = server;
+			best_cost = cost;
+		}
+	}
+	if (best != NULL)
+		*why = FLT_FOUND;
+	return best;
+}
+
+double flt_taken(struct flt *flt, const char *service, int64_t now)
+{
+	GPtrArray *servers = g_hash_table_lookup(flt->services, service);
+	double load = 0;
+	double slots = 0;
+
+	for (guint i = 0; servers != NULL && i < servers->len; i++) {
+		struct flt_server *server = g_ptr_array_index(servers, i);
+
+		if (!in_service(server))
+			continue;
+		load += MIN(load_of(server, now), (double)server->slots);
+		slots += server->slots;
+	}
+	return slots > 0 ? load / slots : 1.0;
+}
+
+void flt_sent(struct flt_server *server, int64_t now)
+{
+	int64_t *at = g_new(int64_t, 1);
+
+	*at = now;
+	server->running++;
+	forget_sends(server, now);
+	g_queue_push_tail(server->sends, at);
+}
+
+void flt_ended(struct flt_server *server)
+{
+	if (server->running > 0)
+		server->running--;
+}
+
+void flt_told(struct flt_server *server, uint32_t running, uint32_t waiting,
+	      int64_t now)
+{
+	server->told_running = running;
+	server->told_waiting = waiting;
+	server->told_at = now;
+	server->told_own = server->running;
+}
+
+void flt_failed(struct flt_server *server, int64_t now)
+{
+	int64_t wait = AVOID_FIRST_MS;
+
+	for (uint32_t i = 0; i < server->failures && wait < AVOID_MOST_MS; i++)
+		wait *= 2;
+	server->failures++;
+	server->avoid_until = now + MIN(wait, AVOID_MOST_MS);
+}
+
+void flt_answered(struct flt_server *server)
+{
+	server->failures = 0;
+	server->avoid_until = 0;
+}
+
+void flt_replaced(struct flt_server *server, int64_t now)
+{
+	server->avoid_until = now + REPLACED_MS;
+}
--- /dev/null
+++ b/decide/history.h
@@ -0,0 +1,35 @@
+/**
+ * @file history.h
+ * @brief Turns of programs that this instance has at hand.
+ *
+ * A cache of what the store keeps, bounded in bytes; the least recently used
+ * turns go first. A turn never changes, so nothing in it is ever stale.
+ */
+#ifndef APS_HISTORY_H
+#define APS_HISTORY_H
+
+#include <stdint.h>
+
+#include <glib.h>
+
+/** Turns at hand, by the key of the turn. */
+struct hst;
+
+/** @param most_bytes bound of the cache */
+struct hst *hst_create(uint64_t most_bytes);
+void hst_destroy(struct hst *hst);
+
+/** Adds a turn: @p previous is the key of the one before it, or "". */
+void hst_put(struct hst *hst, const char *turn, const char *previous,
+	     GBytes *text);
+/**
+ * Joins the texts of a chain, oldest first, into @p text.
+ *
+ * @return NULL if the chain is whole; otherwise the key of the first turn
+ *         that is not at hand, to be freed
+ */
+char *hst_join(struct hst *hst, const char *turn, GByteArray *text);
+/** Bytes at hand. */
+uint64_t hst_bytes(const struct hst *hst);
+
+#endif
--- /dev/null
+++ b/decide/suspect.h
@@ -0,0 +1,29 @@
+/**
+ * @file suspect.h
+ * @brief Requests that may crash the backend servers that run them.
+ *
+ * Load that it answers: one request that crashes each server which begins to
+ * run it, sent again by its caller through any instance. A fingerprint that
+ * broke off at several servers within a short time is refused for a while.
+ */
+#ifndef APS_SUSPECT_H
+#define APS_SUSPECT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct sus;
+
+struct sus *sus_create(void);
+void sus_destroy(struct sus *sus);
+/** A request broke off at @p server; returns false if that was known. */
+bool sus_add(struct sus *sus, uint64_t fingerprint, const char *server,
+	     int64_t now);
+/** Whether the request is refused, and for how long yet. */
+bool sus_refused(struct sus *sus, uint64_t fingerprint, int64_t now,
+		 int64_t *wait_ms);
+/** The fingerprint of a request. */
+uint64_t sus_fingerprint(const char *account, const char *path,
+			 const void *body, uint64_t len);
+
+#endif
--- /dev/null
+++ b/serve/gateway.c
@@ -0,0 +1,363 @@
+/** @file gateway.c @brief One instance: its parts and their life. */
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "clock.h"
+#include "exchange.h"
+#include "gateway.h"
+#include "settings.h"
+#include "slog.h"
+#include "stats.h"
+
+enum {
+	TICK_MS = 200,		/* logs, and the steps of a stop */
+	LISTEN_ON_MS = 3200,	/* the balancer asks each second, twice */
+	END_EARLY_MS = 500,	/* before the process is killed */
+	KEY_SLACK_MS = 1500,	/* watchers may be a second behind, and a
+				 * request has a way to go */
+};
+
+#define FIELD(name, type, required, preset, min, max) \
+	{#name, offsetof(struct gw_settings, name), type, required, preset, \
+	 min, max}
+
+static const struct set_field fields[] = {
+	FIELD(id, SET_STRING, true, 0, 0, 0),
+	FIELD(zone, SET_STRING, true, 0, 0, 0),
+	FIELD(callers, SET_ADDRESS, true, 0, 0, 0),
+	FIELD(ready, SET_ADDRESS, true, 0, 0, 0),
+	FIELD(peers, SET_ADDRESS, true, 0, 0, 0),
+	FIELD(metrics, SET_ADDRESS, false, 0, 0, 0),
+	FIELD(store, SET_ADDRESS, true, 0, 0, 0),
+	FIELD(grace_s, SET_NUMBER, false, 8, 1, 3600),
+	FIELD(revoke_ms, SET_NUMBER, false, 5000, 2000, 600000),
+	FIELD(cache_kb, SET_NUMBER, false, 3072, 64, 1048576),
+};
+
+struct gw {
+	const struct gw_settings *settings;
+	const char *path;
+	struct event_base *base;
+	struct xch_shared shared;
+	struct in *callers;
+	struct in *ready;
+	struct in *metrics;
+	struct event *signals[3];
+	struct event *tick;
+	int64_t stop_at; /* when SIGTERM came; 0: it has not */
+	bool was_ready;
+};
+
+struct gw_settings *gw_read_settings(const char *path, GString *errors)
+{
+	struct gw_settings *settings = g_new0(struct gw_settings, 1);
+
+	if (set_load(path, fields, G_N_ELEMENTS(fields), settings, errors))
+		return settings;
+	gw_free_settings(settings);
+	return NULL;
+}
+
+void gw_free_settings(struct gw_settings *settings)
+{
+	if (settings == NULL)
+		return;
+	set_clear(fields, G_N_ELEMENTS(fields), settings);
+	g_free(settings);
+}
+
+static void on_request(void *arg, struct in_request *request)
+{
+	struct gw *gw = arg;
+
+	xch_start(&gw->shared, request);
+}
+
+static void on_gone(void *arg, struct in_request *request)
+{
+	(void)arg;
+	xch_gone(request);
+}
+
+static bool is_ready(const struct gw *gw)
+{
+	return gw->stop_at == 0 && blf_catalog(gw->shared.beliefs) != NULL &&
+	       blf_age_ms(gw->shared.beliefs) < gw->shared.stale_ms;
+}
+
+static void on_ready_request(void *arg, struct in_request *request)
+{
+	struct gw *gw = arg;
+	bool ready = is_ready(gw);
+
+	if (ready != gw->was_ready)
+		slog("ready", NULL,
+		     "\"ready\":%s,\"config_age_ms\":%" G_GINT64_FORMAT,
+		     ready ? "true" : "false",
+		     blf_age_ms(gw->shared.beliefs));
+	gw->was_ready = ready;
+	in_reply(request, ready ? 200 : 503, "", NULL, 0);
+}
+
+static void on_metrics_request(void *arg, struct in_request *request)
+{
+	struct gw *gw = arg;
+	GString *text = g_string_new(NULL);
+	guint conns;
+	guint requests;
+	guint programs;
+	uint64_t bytes;
+
+	sts_print(text);
+	in_count(gw->callers, &conns, &requests);
+	trn_sizes(gw->shared.programs, &programs, &bytes);
+	g_string_append_printf(
+		text,
+		"apricotshift_connections %u\napricotshift_requests %u\n"
+		"apricotshift_programs %u\n"
+		"apricotshift_history_bytes %" G_GUINT64_FORMAT "\n"
+		"apricotshift_servers %u\napricotshift_instances %u\n"
+		"apricotshift_config_age_ms %" G_GINT64_FORMAT "\n"
+		"apricotshift_connections_opened_total %" G_GUINT64_FORMAT "\n"
+		"apricotshift_log_lines_left_out_total %" G_GUINT64_FORMAT "\n",
+		conns, requests, programs, bytes, flt_count(gw->shared.fleet),
+		mbr_count(gw->shared.members), blf_age_ms(gw->shared.beliefs),
+		up_opened(gw->shared.up), slog_dropped());
+	in_reply(request, 200, "Content-Type: text/plain; version=0.0.4\r\n",
+		 text->str, text->len);
+	g_string_free(text, TRUE);
+}
+
+static void on_asker_gone(void *arg, struct in_request *request)
+{
+	(void)arg;
+	(void)request;
+}
+
+static void on_config(void *arg, struct cat *cat)
+{
+	struct gw *gw = arg;
+	const struct cat_limits *from = cat_limits(cat);
+	struct in_limits limits = {
+		.header_bytes = from->header_bytes,
+		.body_bytes = from->body_bytes,
+		.header_ms = from->header_ms,
+		.idle_ms = from->idle_ms,
+	};
+
+	if (gw->callers != NULL)
+		in_set_limits(gw->callers, &limits);
+}
+
+static int64_t config_age(void *arg)
+{
+	struct gw *gw = arg;
+
+	return blf_age_ms(gw->shared.beliefs);
+}
+
+static void on_marked(void *arg, uint64_t fingerprint, const char *server)
+{
+	struct gw *gw = arg;
+
+	sus_add(gw->shared.suspects, fingerprint, server, clock_boot_ms());
+}
+
+static void drop_idle(struct flt_server *server)
+{
+	up_close_idle(server->idle);
+}
+
+static void on_term(evutil_socket_t fd, short what, void *arg)
+{
+	struct gw *gw = arg;
+
+	(void)fd;
+	(void)what;
+	if (gw->stop_at != 0)
+		return;
+	gw->stop_at = clock_boot_ms();
+	slog("stop", NULL, "\"grace_s\":%u", gw->settings->grace_s);
+	in_drain(gw->callers);
+	mbr_leave(gw->shared.members);
+}
+
+/* Settings hold nothing that changes while a process runs; they are checked
+ * so that a fault shows before the next start. */
+static void on_hup(evutil_socket_t fd, short what, void *arg)
+{
+	struct gw *gw = arg;
+	GString *errors = g_string_new(NULL);
+	struct gw_settings *settings = gw_read_settings(gw->path, errors);
+
+	(void)fd;
+	(void)what;
+	slog("reload", NULL, "\"faults\":%s", slog_quote(errors->str));
+	gw_free_settings(settings);
+	g_string_free(errors, TRUE);
+}
+
+static void stop_step(struct gw *gw)
+{
+	int64_t age = clock_boot_ms() - gw->stop_at;
+	int64_t grace = (int64_t)gw->settings->grace_s * 1000;
+	guint conns;
+	guint requests;
+
+	if (age < MIN(LISTEN_ON_MS, grace / 2))
+		return;
+	in_stop_listening(gw->callers);
+	in_close_idle(gw->callers);
+	in_count(gw->callers, &conns, &requests);
+	if (conns == 0 || age > grace - END_EARLY_MS)
+		event_base_loopbreak(gw->base);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct gw *gw = arg;
+
+	(void)fd;
+	(void)what;
+	if (gw->stop_at != 0)
+		stop_step(gw);
+	xch_forget_sessions(&gw->shared);
+	slog_flush();
+}
+
+static struct in *listen_at(struct gw *gw, const char *address,
+			    const struct in_handler *handler)
+{
+	struct in *in = in_create(gw->base, address, handler, gw);
+
+	if (in == NULL)
+		fprintf(stderr, "apricotshift: listen on %s: %s\n", address,
+			strerror(errno));
+	return in;
+}
+
+static bool open_listeners(struct gw *gw)
+{
+	static const struct in_handler callers = {on_request, on_gone};
+	static const struct in_handler ready = {on_ready_request,
+						on_asker_gone};
+	static const struct in_handler metrics = {on_metrics_request,
+						  on_asker_gone};
+
+	gw->callers = listen_at(gw, gw->settings->callers, &callers);
+	gw->ready = listen_at(gw, gw->settings->ready, &ready);
+	if (gw->settings->metrics != NULL)
+		gw->metrics = listen_at(gw, gw->settings->metrics, &metrics);
+	return gw->callers != NULL && gw->ready != NULL;
+}
+
+static void catch_signals(struct gw *gw)
+{
+	struct timeval tv = {.tv_usec = TICK_MS * 1000};
+
+	signal(SIGPIPE, SIG_IGN);
+	gw->signals[0] = evsignal_new(gw->base, SIGTERM, on_term, gw);
+	gw->signals[1] = evsignal_new(gw->base, SIGINT, on_term, gw);
+	gw->signals[2] = evsignal_new(gw->base, SIGHUP, on_hup, gw);
+	for (size_t i = 0; i < G_N_ELEMENTS(gw->signals); i++)
+		event_add(gw->signals[i], NULL);
+	gw->tick = event_new(gw->base, -1, EV_PERSIST, on_tick, gw);
+	event_add(gw->tick, &tv);
+}
+
+/* Builds what requests share; returns false if an address can't be bound. */
+static bool build_shared(struct gw *gw)
+{
+	const struct gw_settings *settings = gw->settings;
+	struct xch_shared *shared = &gw->shared;
+	struct mbr_config members = {
+		.base = gw->base,
+		.id = settings->id,
+		.zone = settings->zone,
+		.address = settings->peers,
+		.config_age = config_age,
+		.marked = on_marked,
+		.arg = gw,
+	};
+
+	randombytes_buf(&members.incarnation, sizeof(members.incarnation));
+	shared->base = gw->base;
+	shared->zone = settings->zone;
+	shared->stale_ms = (int64_t)settings->revoke_ms - KEY_SLACK_MS;
+	shared->up = up_create(gw->base);
+	shared->store = rst_create(gw->base, shared->up, settings->store);
+	shared->fleet = flt_create(drop_idle);
+	shared->quota = qta_create(clock_boot_ms());
+	shared->suspects = sus_create();
+	shared->programs =
+		trn_create(gw->base, shared->store, members.incarnation,
+			   (uint64_t)settings->cache_kb * 1024);
+	shared->sessions = g_hash_table_new_full(g_str_hash, g_str_equal,
+						 g_free, g_free);
+	shared->beliefs = blf_create(gw->base, shared->store, shared->fleet,
+				     on_config, gw);
+	members.store = shared->store;
+	members.quota = shared->quota;
+	shared->members = mbr_create(&members);
+	if (shared->members == NULL)
+		fprintf(stderr, "apricotshift: datagrams on %s: %s\n",
+			settings->peers, strerror(errno));
+	return shared->members != NULL;
+}
+
+struct gw *gw_create(const struct gw_settings *settings, const char *path)
+{
+	struct gw *gw = g_new0(struct gw, 1);
+
+	gw->settings = settings;
+	gw->path = path;
+	gw->base = event_base_new();
+	slog_open(settings->id);
+	slog("start", NULL, "\"zone\":%s,\"store\":%s",
+	     slog_quote(settings->zone), slog_quote(settings->store));
+	if (!build_shared(gw) || !open_listeners(gw)) {
+		slog_flush();
+		gw_destroy(gw);
+		return NULL;
+	}
+	catch_signals(gw);
+	return gw;
+}
+
+void gw_run(struct gw *gw)
+{
+	event_base_dispatch(gw->base);
+	slog("stopped", NULL, "\"ms\":%" G_GINT64_FORMAT,
+	     clock_boot_ms() - gw->stop_at);
+	slog_flush();
+}
+
+void gw_destroy(struct gw *gw)
+{
+	struct xch_shared *shared = &gw->shared;
+
+	in_destroy(gw->callers);
+	in_destroy(gw->ready);
+	in_destroy(gw->metrics);
+	mbr_destroy(shared->members);
+	blf_destroy(shared->beliefs);
+	trn_destroy(shared->programs);
+	flt_destroy(shared->fleet);
+	qta_destroy(shared->quota);
+	sus_destroy(shared->suspects);
+	rst_destroy(shared->store);
+	up_destroy(shared->up);
+	g_hash_table_destroy(shared->sessions);
+	for (size_t i = 0; i < G_N_ELEMENTS(gw->signals); i++) {
+		if (gw->signals[i] != NULL)
+			event_free(gw->signals[i]);
+	}
+	if (gw->tick != NULL)
+		event_free(gw->tick);
+	event_base_free(gw->base);
+	g_free(gw);
+}
--- /dev/null
+++ b/serve/gateway.h
@@ -0,0 +1,39 @@
+/**
+ * @file gateway.h
+ * @brief One instance on the users' machines: its parts and their life.
+ */
+#ifndef APS_GATEWAY_H
+#define APS_GATEWAY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+/** Settings of an instance; unset strings are NULL. */
+struct gw_settings {
+	char *id;	 /**< name of the instance */
+	char *zone;	 /**< its availability zone */
+	char *callers;	 /**< HOST:PORT for callers */
+	char *ready;	 /**< HOST:PORT for the balancer's question */
+	char *peers;	 /**< HOST:PORT for datagrams of other instances */
+	char *metrics;	 /**< HOST:PORT for metrics, or NULL */
+	char *store;	 /**< HOST:PORT of the platform's store */
+	uint32_t grace_s; /**< from SIGTERM to SIGKILL */
+	uint32_t revoke_ms; /**< a withdrawn key ends within that */
+	uint32_t cache_kb; /**< history of programs that is kept at hand */
+};
+
+struct gw;
+
+/** Reads settings; returns NULL after adding a line for each fault. */
+struct gw_settings *gw_read_settings(const char *path, GString *errors);
+void gw_free_settings(struct gw_settings *settings);
+
+/** Prepares an instance; returns NULL after a line on standard error. */
+struct gw *gw_create(const struct gw_settings *settings, const char *path);
+/** Runs it until it is told to stop and its requests have ended. */
+void gw_run(struct gw *gw);
+void gw_destroy(struct gw *gw);
+
+#endif
--- /dev/null
+++ b/serve/members.h
@@ -0,0 +1,48 @@
+/**
+ * @file members.h
+ * @brief The other instances: found in the store, heard by datagrams.
+ *
+ * Each instance renews a row of its own and reads all rows; an instance whose
+ * row does not change for long and that is not heard is gone. Datagrams carry
+ * what changes fast: demands of accounts, and marks on requests that break
+ * backend servers.
+ */
+#ifndef APS_MEMBERS_H
+#define APS_MEMBERS_H
+
+#include <event2/event.h>
+
+#include "decide/quota.h"
+#include "platform/rowstore.h"
+
+struct mbr;
+
+/** What members needs of the instance. */
+struct mbr_config {
+	struct event_base *base;
+	struct rst *store;
+	struct qta *quota;
+	const char *id;
+	const char *zone;
+	const char *address; /**< HOST:PORT for datagrams */
+	uint64_t incarnation;
+	/** Age of the configuration, in ms. */
+	int64_t (*config_age)(void *arg);
+	/** A request with that fingerprint was running when @p server broke. */
+	void (*marked)(void *arg, uint64_t fingerprint, const char *server);
+	void *arg;
+};
+
+/** Begins; returns NULL if the address can't be bound. */
+struct mbr *mbr_create(const struct mbr_config *config);
+void mbr_destroy(struct mbr *mbr);
+/** Instances that may send requests, this one included. */
+uint32_t mbr_count(const struct mbr *mbr);
+/** Whether another instance has a fresh configuration. */
+bool mbr_others_fresh(const struct mbr *mbr);
+/** Tells the others of a mark. */
+void mbr_mark(struct mbr *mbr, uint64_t fingerprint, const char *server);
+/** This instance takes its row away: it stops. */
+void mbr_leave(struct mbr *mbr);
+
+#endif
--- a/serve/settings.c
+++ b/serve/settings.c
@@ -11,39 +11,34 @@
 	SET_TEXT_MAX = 65536,
 };
 
-/* One setting: a string, or a number with its bounds. */
-struct field {
-	const char *name;
-	size_t offset;
-	bool number;
-	bool required;
-	uint32_t preset;
-	uint32_t min;
-	uint32_t max;
+#define FIELD(name, type, required, preset, min, max) \
+	{#name, offsetof(struct settings, name), type, required, preset, min, \
+	 max}
+
+static const struct set_field fields[] = {
+	FIELD(id, SET_STRING, true, 0, 0, 0),
+	FIELD(zone, SET_STRING, true, 0, 0, 0),
+	FIELD(http, SET_ADDRESS, true, 0, 0, 0),
+	FIELD(peer, SET_ADDRESS, true, 0, 0, 0),
+	FIELD(platform, SET_STRING, true, 0, 0, 0),
+	FIELD(rules, SET_STRING, false, 0, 0, 0),
+	FIELD(threads, SET_NUMBER, false, 64, 1, 4096),
+	FIELD(commit_gap_ms, SET_NUMBER, false, 40, 1, 1000),
+	FIELD(max_body, SET_NUMBER, false, 1048576, 1024, 4194304),
 };
 
-static const struct field fields[] = {
-	{"id", offsetof(struct settings, id), false, true, 0, 0, 0},
-	{"zone", offsetof(struct settings, zone), false, true, 0, 0, 0},
-	{"http", offsetof(struct settings, http), false, true, 0, 0, 0},
-	{"peer", offsetof(struct settings, peer), false, true, 0, 0, 0},
-	{"platform", offsetof(struct settings, platform), false, true, 0, 0, 0},
-	{"rules", offsetof(struct settings, rules), false, false, 0, 0, 0},
-	{"threads", offsetof(struct settings, threads), true, false, 64, 1,
-	 4096},
-	{"commit_gap_ms", offsetof(struct settings, commit_gap_ms), true, false,
-	 40, 1, 1000},
-	{"max_body", offsetof(struct settings, max_body), true, false, 1048576,
-	 1024, 4194304},
+struct table {
+	const struct set_field *fields;
+	size_t count;
 };
 
-static const struct field *field_find(const char *name)
+static bool is_known(const struct table *table, const char *name)
 {
-	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
-		if (strcmp(fields[i].name, name) == 0)
-			return &fields[i];
+	for (size_t i = 0; i < table->count; i++) {
+		if (strcmp(table->fields[i].name, name) == 0)
+			return true;
 	}
-	return NULL;
+	return false;
 }
 
 /*
@@ -87,7 +82,7 @@
 	return count;
 }
 
-static bool set_number(struct settings *settings, const struct field *field,
+static bool set_number(void *target, const struct set_field *field,
 		       json_object *value, const char *name, GString *errors)
 {
 	int64_t number = field->preset;
@@ -102,14 +97,14 @@
 			return false;
 		}
 	}
-	*(uint32_t *)((char *)settings + field->offset) = (uint32_t)number;
+	*(uint32_t *)((char *)target + field->offset) = (uint32_t)number;
 	return true;
 }
 
-static bool set_string(struct settings *settings, const struct field *field,
+static bool set_string(void *target, const struct set_field *field,
 		       json_object *value, const char *name, GString *errors)
 {
-	char **slot = (char **)((char *)settings + field->offset);
+	char **slot = (char **)((char *)target + field->offset);
 
 	if (value == NULL && !field->required)
 		return true;
@@ -125,18 +120,23 @@
 		return false;
 	}
 	*slot = g_strdup(json_object_get_string(value));
+	if (field->type == SET_ADDRESS && strchr(*slot, ':') == NULL) {
+		g_string_append_printf(errors, "%s: %s: not HOST:PORT\n", name,
+				       field->name);
+		return false;
+	}
 	return true;
 }
 
-static bool check_names(json_object *root, const char *text, const char *name,
-			GString *errors)
+static bool check_names(const struct table *table, json_object *root,
+			const char *text, const char *name, GString *errors)
 {
 	bool ok = true;
 
 	json_object_object_foreach(root, key, value)
 	{
 		(void)value;
-		if (field_find(key) == NULL) {
+		if (!is_known(table, key)) {
 			g_string_append_printf(
 				errors, "%s: %s: unknown setting\n", name, key);
 			ok = false;
@@ -150,53 +150,57 @@
 	return ok;
 }
 
-static bool check_addr(const char *addr, const char *field, const char *name,
-		       GString *errors)
-{
-	if (addr == NULL || strchr(addr, ':') != NULL)
-		return true;
-	g_string_append_printf(errors, "%s: %s: not HOST:PORT\n", name, field);
-	return false;
-}
-
-struct settings *set_parse(const char *text, const char *name, GString *errors)
+bool set_load_text(const char *text, const char *name,
+		   const struct set_field *list, size_t count, void *target,
+		   GString *errors)
 {
-	struct settings *settings = g_new0(struct settings, 1);
+	struct table table = {list, count};
 	enum json_tokener_error fault;
 	json_object *root = json_tokener_parse_verbose(text, &fault);
-	bool ok = true;
+	bool ok;
 
 	if (!json_object_is_type(root, json_type_object)) {
 		g_string_append_printf(errors, "%s: not a JSON object: %s\n",
 				       name, json_tokener_error_desc(fault));
-		ok = false;
-		goto out;
+		json_object_put(root);
+		return false;
 	}
-	ok = check_names(root, text, name, errors);
-	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+	ok = check_names(&table, root, text, name, errors);
+	for (size_t i = 0; i < count; i++) {
 		json_object *value = NULL;
 
-		json_object_object_get_ex(root, fields[i].name, &value);
-		if (fields[i].number)
-			ok &= set_number(settings, &fields[i], value, name,
-					 errors);
+		json_object_object_get_ex(root, list[i].name, &value);
+		if (list[i].type == SET_NUMBER)
+			ok &= set_number(target, &list[i], value, name, errors);
 		else
-			ok &= set_string(settings, &fields[i], value, name,
-					 errors);
+			ok &= set_string(target, &list[i], value, name, errors);
 	}
-	ok &= check_addr(settings->http, "http", name, errors);
-	ok &= check_addr(settings->peer, "peer", name, errors);
-out:
 	json_object_put(root);
-	if (ok)
+	return ok;
+}
+
+void set_clear(const struct set_field *list, size_t count, void *target)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (list[i].type != SET_NUMBER)
+			g_free(*(char **)((char *)target + list[i].offset));
+	}
+}
+
+struct settings *set_parse(const char *text, const char *name, GString *errors)
+{
+	struct settings *settings = g_new0(struct settings, 1);
+
+	if (set_load_text(text, name, fields, G_N_ELEMENTS(fields), settings,
+			  errors))
 		return settings;
 	set_destroy(settings);
 	return NULL;
 }
 
-struct settings *set_read(const char *path, GString *errors)
+/* Returns the text of a file, or NULL. */
+static char *read_text(const char *path, GString *errors)
 {
-	struct settings *settings;
 	GError *error = NULL;
 	char *text;
 	gsize len;
@@ -212,6 +216,29 @@
 		g_free(text);
 		return NULL;
 	}
+	return text;
+}
+
+bool set_load(const char *path, const struct set_field *list, size_t count,
+	      void *target, GString *errors)
+{
+	char *text = read_text(path, errors);
+	bool ok;
+
+	if (text == NULL)
+		return false;
+	ok = set_load_text(text, path, list, count, target, errors);
+	g_free(text);
+	return ok;
+}
+
+struct settings *set_read(const char *path, GString *errors)
+{
+	char *text = read_text(path, errors);
+	struct settings *settings;
+
+	if (text == NULL)
+		return NULL;
 	settings = set_parse(text, path, errors);
 	g_free(text);
 	return settings;
@@ -221,11 +248,6 @@
 {
 	if (settings == NULL)
 		return;
-	g_free(settings->id);
-	g_free(settings->zone);
-	g_free(settings->http);
-	g_free(settings->peer);
-	g_free(settings->platform);
-	g_free(settings->rules);
+	set_clear(fields, G_N_ELEMENTS(fields), settings);
 	g_free(settings);
 }
--- a/serve/settings.h
+++ b/serve/settings.h
@@ -6,6 +6,7 @@
 #define APS_SETTINGS_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include <glib.h>
@@ -13,6 +14,32 @@
 /** Value of "platform" that keeps the tables in this process. */
 #define SET_EMBEDDED "embedded"
 
+/** One setting: a string, an address, or a number with its bounds. */
+struct set_field {
+	const char *name;
+	size_t offset; /**< of a char *, or of a uint32_t for numbers */
+	enum set_type { SET_STRING, SET_ADDRESS, SET_NUMBER } type;
+	bool required;
+	uint32_t preset;
+	uint32_t min;
+	uint32_t max;
+};
+
+/**
+ * Reads a file of settings into @p target, a structure of @p fields.
+ *
+ * @param errors receives one "file: fault" line for each fault
+ * @return false if there is any fault; strings are to be freed all the same
+ */
+bool set_load(const char *path, const struct set_field *fields, size_t count,
+	      void *target, GString *errors);
+/** Reads settings from @p text; @p name is used in messages. */
+bool set_load_text(const char *text, const char *name,
+		   const struct set_field *fields, size_t count, void *target,
+		   GString *errors);
+/** Frees the strings of @p target. */
+void set_clear(const struct set_field *fields, size_t count, void *target);
+
 /** Settings of a process; unset strings are NULL. */
 struct settings {
 	char *id;	  /**< name of the instance */
--- /dev/null
+++ b/serve/turns.c
@@ -0,0 +1,891 @@
+/** @file turns.c @brief History and budget of programs. */
+#include <string.h>
+
+#include <sodium.h>
+#include <urcu/list.h>
+
+#include "clock.h"
+#include "decide/budget.h"
+#include "decide/history.h"
+#include "turns.h"
+#include "proto/message.h"
+#include "proto/rows.pb-c.h"
+#include "slog.h"
+#include "stats.h"
+
+#define PROGRAMS_TABLE "aps-programs" /* budget rows and turns */
+#define TURNS_TABLE "aps-turns"	      /* turn -> program */
+
+enum {
+	PARTS = 16,	   /* each commits one transaction after another */
+	KEY_BYTES = 16,	   /* of a hash */
+	KEY_LEN = 2 * KEY_BYTES + 1,
+	PIECE_BYTES = 45000, /* fits a row of 64 KiB in base64 */
+	RETRY_FIRST_MS = 15,
+	RETRY_MOST_MS = 250,
+	ROUNDS_MOST = 8,   /* programs that one chain passes through */
+	IDLE_MS = 65000,   /* a program that long idle leaves the memory */
+	SWEEP_MS = 10000,
+};
+
+/* What another incarnation may hand out. */
+struct cap {
+	uint64_t incarnation;
+	uint32_t tokens;
+};
+
+struct program {
+	struct trn *trn;
+	char key[KEY_LEN];
+	char part[4];
+	struct bgt bgt;
+	int64_t version; /* of the budget row; 0: there is none */
+	int64_t read_at; /* when the row was last known to be current */
+	GArray *others;	 /* of struct cap */
+	struct cds_list_head turns;
+	struct rst_call *write;
+	struct rst_call *read;
+	uint64_t writing_cap;
+	bool writing_row;
+	int64_t write_began;
+	struct event *retry;
+	int64_t retry_ms;
+	int64_t used_at;
+};
+
+struct trn {
+	struct event_base *base;
+	struct rst *store;
+	uint64_t incarnation;
+	GHashTable *programs;
+	struct hst *history;
+	struct event *sweep;
+};
+
+/* How far the history of a turn has been looked for. */
+enum load_state {
+	LOAD_NONE,
+	LOAD_PROGRAM, /* the rows of its own program are being read */
+	LOAD_SEARCH,  /* the index of each part is being read */
+	LOAD_OWNER,   /* the rows of another program are being read */
+	LOAD_DONE,
+};
+
+struct load {
+	struct trn_turn *turn;
+	struct rst_call *call;
+	char owner[KEY_LEN]; /* whose rows are read; "" for the index */
+};
+
+struct trn_turn {
+	struct cds_list_head node;
+	struct program *program;
+	char key[KEY_LEN];
+	char previous[KEY_LEN];
+	uint64_t budget;
+	uint64_t most;
+	int64_t began;
+	const struct trn_handler *handler;
+	void *arg;
+	GByteArray *history;
+	enum load_state load;
+	GPtrArray *loads; /* of struct load */
+	bool load_failed;
+	char found[KEY_LEN]; /* owner that the index named */
+	char missing[KEY_LEN];
+	int rounds;
+	bool decided;
+	bool waiting; /* for a raise of the cap */
+	bool opened;
+	bool granted;
+	bool closed;
+	GBytes *text; /* to be kept */
+	bool writing; /* in the transaction under way */
+	bool kept;
+};
+
+static void turn_step(struct trn_turn *turn);
+static void program_sync(struct program *program);
+
+/* Hashes what names a row: fixed length, nothing to escape, and a turn of
+ * another account has another key. */
+static void make_key(char *out, char kind, const char *account,
+		     const char *name)
+{
+	unsigned char hash[KEY_BYTES];
+	char *text = g_strdup_printf("%c%s\n%s", kind, account, name);
+
+	crypto_generichash(hash, sizeof(hash), (const unsigned char *)text,
+			   strlen(text), NULL, 0);
+	sodium_bin2hex(out, KEY_LEN, hash, sizeof(hash));
+	g_free(text);
+}
+
+static void part_of(const char *key, char *part)
+{
+	part[0] = 'p';
+	part[1] = key[0];
+	part[2] = '\0';
+}
+
+static struct program *program_of(struct trn *trn, const char *key);
+
+static void on_retry(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	program_sync(arg);
+}
+
+static void program_free(gpointer p)
+{
+	struct program *program = p;
+
+	if (program->write != NULL)
+		rst_cancel(program->write);
+	if (program->read != NULL)
+		rst_cancel(program->read);
+	event_free(program->retry);
+	g_array_free(program->others, TRUE);
+	g_free(program);
+}
+
+static struct program *program_of(struct trn *trn, const char *key)
+{
+	struct program *program = g_hash_table_lookup(trn->programs, key);
+
+	if (program != NULL)
+		return program;
+	program = g_new0(struct program, 1);
+	program->trn = trn;
+	g_strlcpy(program->key, key, KEY_LEN);
+	part_of(key, program->part);
+	program->others = g_array_new(FALSE, FALSE, sizeof(struct cap));
+	program->retry = evtimer_new(trn->base, on_retry, program);
+	CDS_INIT_LIST_HEAD(&program->turns);
+	g_hash_table_insert(trn->programs, program->key, program);
+	return program;
+}
+
+static void on_sweep(evutil_socket_t fd, short what, void *arg)
+{
+	struct trn *trn = arg;
+	int64_t now = clock_boot_ms();
+	GHashTableIter it;
+	gpointer p;
+
+	(void)fd;
+	(void)what;
+	g_hash_table_iter_init(&it, trn->programs);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct program *program = p;
+
+		if (cds_list_empty(&program->turns) && !program->write &&
+		    !program->read && now - program->used_at > IDLE_MS)
+			g_hash_table_iter_remove(&it);
+	}
+}
+
+struct trn *trn_create(struct event_base *base, struct rst *store,
+		       uint64_t incarnation, uint64_t cache_bytes)
+{
+	struct timeval tv = {.tv_sec = SWEEP_MS / 1000};
+	struct trn *trn = g_new0(struct trn, 1);
+
+	trn->base = base;
+	trn->store = store;
+	trn->incarnation = incarnation;
+	trn->programs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					      program_free);
+	trn->history = hst_create(cache_bytes);
+	trn->sweep = event_new(base, -1, EV_PERSIST, on_sweep, trn);
+	event_add(trn->sweep, &tv);
+	return trn;
+}
+
+void trn_destroy(struct trn *trn)
+{
+	if (trn == NULL)
+		return;
+	g_hash_table_destroy(trn->programs);
+	hst_destroy(trn->history);
+	event_free(trn->sweep);
+	g_free(trn);
+}
+
+void trn_sizes(const struct trn *trn, guint *programs, uint64_t *bytes)
+{
+	*programs = g_hash_table_size(trn->programs);
+	*bytes = hst_bytes(trn->history);
+}
+
+/* Takes the budget row in; NULL: there is none. */
+static void take_budget(struct program *program, GBytes *value, int64_t version,
+			int64_t sent_at)
+{
+	Rows__Program *row = NULL;
+	uint64_t own = 0;
+
+	if (version < program->version)
+		return;
+	if (value != NULL) {
+		gsize len;
+		const uint8_t *data = g_bytes_get_data(value, &len);
+
+		row = rows__program__unpack(NULL, len, data);
+	}
+	g_array_set_size(program->others, 0);
+	program->bgt.others = 0;
+	for (size_t i = 0; row != NULL && i < row->n_caps; i++) {
+		struct cap cap = {row->caps[i]->incarnation,
+				  row->caps[i]->tokens};
+
+		if (cap.incarnation == program->trn->incarnation) {
+			own = cap.tokens;
+			continue;
+		}
+		program->bgt.others += cap.tokens;
+		g_array_append_val(program->others, cap);
+	}
+	if (row != NULL)
+		rows__program__free_unpacked(row, NULL);
+	program->bgt.cap = own;
+	program->bgt.known = true;
+	program->version = version;
+	program->read_at = sent_at;
+}
+
+static void verdict(struct trn_turn *turn, enum trn_verdict what)
+{
+	turn->decided = true;
+	turn->waiting = false;
+	turn->handler->decided(turn->arg, what,
+			       what == TRN_GO ? turn->history : NULL);
+}
+
+/* Calls back those whose tokens our cap covers. */
+static void grant(struct program *program)
+{
+	struct trn_turn *turn;
+	struct trn_turn *next;
+
+	cds_list_for_each_entry_safe(turn, next, &program->turns, node)
+	{
+		if (!turn->opened || turn->granted || turn->closed ||
+		    program->bgt.spent + program->bgt.open > program->bgt.cap)
+			continue;
+		turn->granted = true;
+		if (turn->decided)
+			turn->handler->granted(turn->arg);
+	}
+}
+
+/* Runs every turn that is not decided once more. */
+static void step_all(struct program *program)
+{
+	bool again = true;
+
+	while (again) {
+		struct trn_turn *turn;
+
+		again = false;
+		cds_list_for_each_entry(turn, &program->turns, node)
+		{
+			if (turn->decided || !turn->waiting)
+				continue;
+			turn->waiting = false;
+			again = true;
+			turn_step(turn);
+			break;
+		}
+		if (again && program->write != NULL)
+			break;
+	}
+}
+
+/* The store is away: what has not been sent is refused at once. */
+static void fail_waiting(struct program *program)
+{
+	struct trn_turn *turn;
+	struct trn_turn *next;
+
+	cds_list_for_each_entry_safe(turn, next, &program->turns, node)
+	{
+		if (!turn->decided && turn->waiting)
+			verdict(turn, TRN_UNAVAILABLE);
+	}
+}
+
+static bool turn_row_in(const struct trn_turn *turn, const GArray *rows)
+{
+	for (guint i = 0; i < rows->len; i++) {
+		const struct rst_row *row =
+			&g_array_index(rows, struct rst_row, i);
+
+		if (strcmp(row->table, TURNS_TABLE) == 0 &&
+		    row->version > 0 && strcmp(row->key, turn->key) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void turn_is_kept(struct trn_turn *turn)
+{
+	turn->writing = false;
+	turn->kept = true;
+	hst_put(turn->program->trn->history, turn->key, turn->previous,
+		turn->text);
+	g_bytes_unref(turn->text);
+	turn->text = NULL;
+	sts_count(STS_TURNS_KEPT);
+	turn->handler->kept(turn->arg);
+}
+
+static void conflict(struct program *program, const struct rst_answer *answer)
+{
+	const struct rst_row *budget = NULL;
+
+	sts_count(STS_STORE_CONFLICTS);
+	for (guint i = 0; i < answer->rows->len; i++) {
+		const struct rst_row *row =
+			&g_array_index(answer->rows, struct rst_row, i);
+
+		if (strcmp(row->table, PROGRAMS_TABLE) == 0 &&
+		    strcmp(row->key, program->key) == 0)
+			budget = row;
+	}
+	if (!program->writing_row)
+		return;
+	program->version = 0;
+	if (budget != NULL)
+		take_budget(program, budget->value, budget->version,
+			    answer->sent_at);
+	else
+		take_budget(program, NULL, 0, answer->sent_at);
+}
+
+static void retry_later(struct program *program)
+{
+	struct timeval tv = {.tv_usec = program->retry_ms * 1000};
+
+	event_add(program->retry, &tv);
+	program->retry_ms = MIN(program->retry_ms * 2, RETRY_MOST_MS);
+}
+
+/* Calls back the turns of a transaction that is settled. */
+static void settle_turns(struct program *program,
+			 const struct rst_answer *answer)
+{
+	struct trn_turn *turn;
+	struct trn_turn *next;
+
+	cds_list_for_each_entry_safe(turn, next, &program->turns, node)
+	{
+		if (!turn->writing)
+			continue;
+		turn->writing = false;
+		if (answer->result == RST_OK ||
+		    (answer->result == RST_CONFLICT &&
+		     turn_row_in(turn, answer->rows)))
+			turn_is_kept(turn);
+	}
+}
+
+static void on_written(void *arg, const struct rst_answer *answer)
+{
+	struct program *program = arg;
+
+	program->write = NULL;
+	if (answer->result == RST_OK) {
+		program->retry_ms = RETRY_FIRST_MS;
+		if (program->writing_row) {
+			program->version = answer->version;
+			program->bgt.cap = program->writing_cap;
+			program->bgt.known = true;
+			program->read_at = answer->sent_at;
+		}
+		sts_time(STS_COMMIT, clock_boot_ms() - program->write_began);
+	} else if (answer->result == RST_CONFLICT) {
+		conflict(program, answer);
+	}
+	settle_turns(program, answer);
+	if (answer->result >= RST_REFUSED) {
+		if (!rst_healthy(program->trn->store))
+			fail_waiting(program);
+		retry_later(program);
+		return;
+	}
+	grant(program);
+	step_all(program);
+	program_sync(program);
+}
+
+static void put_turn(struct rst_tx *tx, struct program *program,
+		     struct trn_turn *turn)
+{
+	Rows__Turn row = ROWS__TURN__INIT;
+	gsize len;
+	const uint8_t *text = g_bytes_get_data(turn->text, &len);
+	gsize first = MIN(len, PIECE_BYTES);
+	size_t packed_len;
+	uint8_t *packed;
+	char key[2 * KEY_LEN + 8];
+
+	row.previous = turn->previous;
+	row.text.data = (uint8_t *)text;
+	row.text.len = first;
+	row.pieces = (uint32_t)((len - first + PIECE_BYTES - 1) / PIECE_BYTES);
+	packed = msg_pack(&row.base, &packed_len);
+	g_snprintf(key, sizeof(key), "%s/%s", program->key, turn->key);
+	rst_tx_expect(tx, TURNS_TABLE, turn->key, 0);
+	rst_tx_put(tx, TURNS_TABLE, turn->key, program->key,
+		   strlen(program->key));
+	rst_tx_put(tx, PROGRAMS_TABLE, key, packed, packed_len);
+	g_free(packed);
+	for (uint32_t i = 0; i < row.pieces; i++) {
+		gsize at = first + (gsize)i * PIECE_BYTES;
+
+		g_snprintf(key, sizeof(key), "%s/%s/%02u", program->key,
+			   turn->key, i);
+		rst_tx_put(tx, PROGRAMS_TABLE, key, text + at,
+			   MIN(len - at, PIECE_BYTES));
+	}
+	turn->writing = true;
+}
+
+static void put_budget(struct rst_tx *tx, struct program *program)
+{
+	Rows__Program row = ROWS__PROGRAM__INIT;
+	guint n = program->others->len + 1;
+	Rows__Cap *caps = g_new(Rows__Cap, n);
+	Rows__Cap **list = g_new(Rows__Cap *, n);
+	uint8_t *packed;
+	size_t len;
+
+	for (guint i = 0; i < n; i++) {
+		rows__cap__init(&caps[i]);
+		list[i] = &caps[i];
+		if (i == n - 1)
+			break;
+		caps[i].incarnation =
+			g_array_index(program->others, struct cap, i)
+				.incarnation;
+		caps[i].tokens =
+			g_array_index(program->others, struct cap, i).tokens;
+	}
+	caps[n - 1].incarnation = program->trn->incarnation;
+	caps[n - 1].tokens = (uint32_t)program->writing_cap;
+	row.n_caps = n;
+	row.caps = list;
+	packed = msg_pack(&row.base, &len);
+	rst_tx_expect(tx, PROGRAMS_TABLE, program->key, program->version);
+	rst_tx_put(tx, PROGRAMS_TABLE, program->key, packed, len);
+	g_free(packed);
+	g_free(list);
+	g_free(caps);
+}
+
+/* The cap that the turns of a program want now. */
+static uint64_t wanted_cap(struct program *program, bool *urgent)
+{
+	struct bgt *bgt = &program->bgt;
+	struct trn_turn *turn;
+	uint64_t cap = bgt->cap;
+
+	*urgent = bgt->spent + bgt->open > bgt->cap;
+	cds_list_for_each_entry(turn, &program->turns, node)
+	{
+		uint64_t more = turn->waiting ? turn->most : 0;
+		uint64_t wanted;
+
+		if (turn->budget == 0)
+			continue;
+		*urgent |= turn->waiting;
+		wanted = bgt_wanted(bgt, turn->budget, turn->most, more);
+		cap = MAX(cap, wanted);
+		if (turn->waiting)
+			break;
+	}
+	return cap;
+}
+
+/* Writes what is to be written, one transaction at a time. */
+static void program_sync(struct program *program)
+{
+	struct rst_tx *tx;
+	struct trn_turn *turn;
+	bool urgent;
+	bool keeps = false;
+	uint64_t cap;
+
+	if (program->write != NULL || evtimer_pending(program->retry, NULL))
+		return;
+	cds_list_for_each_entry(turn, &program->turns, node)
+		keeps |= turn->text != NULL;
+	cap = wanted_cap(program, &urgent);
+	if (!keeps && (!urgent || cap <= program->bgt.cap))
+		return;
+	tx = rst_tx_create(program->part);
+	cds_list_for_each_entry(turn, &program->turns, node)
+	{
+		if (turn->text != NULL)
+			put_turn(tx, program, turn);
+	}
+	program->writing_row = cap > program->bgt.cap;
+	program->writing_cap = cap;
+	if (program->writing_row)
+		put_budget(tx, program);
+	program->write_began = clock_boot_ms();
+	program->write =
+		rst_tx_send(program->trn->store, tx, on_written, program);
+}
+
+static void on_budget_read(void *arg, const struct rst_answer *answer)
+{
+	struct program *program = arg;
+	const struct rst_row *row = NULL;
+
+	program->read = NULL;
+	if (answer->result != RST_OK) {
+		fail_waiting(program);
+		return;
+	}
+	if (answer->rows->len > 0)
+		row = &g_array_index(answer->rows, struct rst_row, 0);
+	take_budget(program, row ? row->value : NULL, row ? row->version : 0,
+		    answer->sent_at);
+	grant(program);
+	step_all(program);
+	program_sync(program);
+}
+
+static void read_budget(struct program *program)
+{
+	char to[KEY_LEN + 2];
+
+	if (program->read != NULL)
+		return;
+	g_snprintf(to, sizeof(to), "%s!", program->key);
+	program->read =
+		rst_get(program->trn->store, PROGRAMS_TABLE, program->part,
+			program->key, to, on_budget_read, program);
+}
+
+/* Returns true if the turn may go on. */
+static bool budget_step(struct trn_turn *turn)
+{
+	struct program *program = turn->program;
+	struct bgt *bgt = &program->bgt;
+
+	switch (bgt_decide(bgt, turn->budget, turn->most)) {
+	case BGT_GO:
+		bgt_open(bgt, turn->most);
+		turn->opened = true;
+		turn->granted = true;
+		return true;
+	case BGT_RAISE:
+		if (bgt_ample(bgt, turn->budget, turn->most)) {
+			bgt_open(bgt, turn->most);
+			turn->opened = true;
+			program_sync(program);
+			return true;
+		}
+		turn->waiting = true;
+		program_sync(program);
+		return false;
+	case BGT_SPENT:
+		break;
+	}
+	if (program->read_at >= turn->began) {
+		verdict(turn, TRN_SPENT);
+		return false;
+	}
+	turn->waiting = true;
+	read_budget(program);
+	return false;
+}
+
+static void load_free(gpointer p)
+{
+	struct load *load = p;
+
+	if (load->call != NULL)
+		rst_cancel(load->call);
+	g_free(load);
+}
+
+static void drop_loads(struct trn_turn *turn)
+{
+	g_ptr_array_set_size(turn->loads, 0);
+}
+
+static void load_end(struct load *load, bool ok);
+
+/* Puts the rows of a program's turns into the history. */
+static void take_turns(struct trn *trn, const GArray *rows)
+{
+	for (guint i = 0; i < rows->len; i++) {
+		const struct rst_row *row =
+			&g_array_index(rows, struct rst_row, i);
+		Rows__Turn *turn;
+		GByteArray *text;
+		GBytes *bytes;
+		gsize len;
+		const uint8_t *data;
+
+		if (strlen(row->key) != 2 * (KEY_LEN - 1) + 1 ||
+		    row->value == NULL)
+			continue;
+		data = g_bytes_get_data(row->value, &len);
+		turn = rows__turn__unpack(NULL, len, data);
+		if (turn == NULL || i + turn->pieces >= rows->len) {
+			if (turn != NULL)
+				rows__turn__free_unpacked(turn, NULL);
+			continue;
+		}
+		text = g_byte_array_new();
+		g_byte_array_append(text, turn->text.data,
+				    (guint)turn->text.len);
+		for (uint32_t k = 1; k <= turn->pieces; k++) {
+			const struct rst_row *piece =
+				&g_array_index(rows, struct rst_row, i + k);
+
+			data = g_bytes_get_data(piece->value, &len);
+			g_byte_array_append(text, data, (guint)len);
+		}
+		bytes = g_byte_array_free_to_bytes(text);
+		hst_put(trn->history, row->key + KEY_LEN, turn->previous,
+			bytes);
+		g_bytes_unref(bytes);
+		rows__turn__free_unpacked(turn, NULL);
+	}
+}
+
+static void read_rows_of(struct load *load, const char *from);
+
+static void on_program_rows(void *arg, const struct rst_answer *answer)
+{
+	struct load *load = arg;
+	struct program *program = load->turn->program;
+
+	load->call = NULL;
+	if (answer->result != RST_OK) {
+		load_end(load, false);
+		return;
+	}
+	take_turns(program->trn, answer->rows);
+	if (strcmp(load->owner, program->key) == 0 && answer->rows->len > 0) {
+		const struct rst_row *row =
+			&g_array_index(answer->rows, struct rst_row, 0);
+
+		if (strcmp(row->key, program->key) == 0)
+			take_budget(program, row->value, row->version,
+				    answer->sent_at);
+	}
+	if (answer->more && answer->rows->len > 0) {
+		const struct rst_row *row = &g_array_index(
+			answer->rows, struct rst_row, answer->rows->len - 1);
+
+		read_rows_of(load, row->key);
+		return;
+	}
+	load_end(load, true);
+}
+
+static void read_rows_of(struct load *load, const char *from)
+{
+	char to[KEY_LEN + 2];
+	char part[4];
+
+	part_of(load->owner, part);
+	g_snprintf(to, sizeof(to), "%s0", load->owner);
+	load->call = rst_get(load->turn->program->trn->store, PROGRAMS_TABLE,
+			     part, from, to, on_program_rows, load);
+}
+
+static void on_index(void *arg, const struct rst_answer *answer)
+{
+	struct load *load = arg;
+
+	load->call = NULL;
+	if (answer->result == RST_OK && answer->rows->len > 0) {
+		const struct rst_row *row =
+			&g_array_index(answer->rows, struct rst_row, 0);
+		gsize len;
+		const char *owner = g_bytes_get_data(row->value, &len);
+
+		if (len == KEY_LEN - 1)
+			memcpy(load->turn->found, owner, len);
+	}
+	load_end(load, answer->result == RST_OK);
+}
+
+static struct load *load_add(struct trn_turn *turn, const char *owner)
+{
+	struct load *load = g_new0(struct load, 1);
+
+	load->turn = turn;
+	g_strlcpy(load->owner, owner, KEY_LEN);
+	g_ptr_array_add(turn->loads, load);
+	return load;
+}
+
+static void search_index(struct trn_turn *turn)
+{
+	char to[KEY_LEN + 2];
+
+	turn->load = LOAD_SEARCH;
+	memset(turn->found, 0, KEY_LEN);
+	g_snprintf(to, sizeof(to), "%s!", turn->missing);
+	for (int i = 0; i < PARTS; i++) {
+		struct load *load = load_add(turn, "");
+		char part[4] = {'p', "0123456789abcdef"[i], '\0'};
+
+		load->call = rst_get(turn->program->trn->store, TURNS_TABLE,
+				     part, turn->missing, to, on_index, load);
+	}
+}
+
+/* All that was being read is there. */
+static void loads_done(struct trn_turn *turn)
+{
+	if (turn->load_failed && turn->found[0] == '\0') {
+		verdict(turn, TRN_UNAVAILABLE);
+		return;
+	}
+	turn->load_failed = false;
+	if (turn->load == LOAD_SEARCH) {
+		if (turn->found[0] == '\0') {
+			verdict(turn, TRN_NO_TURN);
+			return;
+		}
+		turn->load = LOAD_OWNER;
+		read_rows_of(load_add(turn, turn->found), turn->found);
+		return;
+	}
+	turn_step(turn);
+}
+
+static void load_end(struct load *load, bool ok)
+{
+	struct trn_turn *turn = load->turn;
+
+	turn->load_failed |= !ok;
+	g_ptr_array_remove_fast(turn->loads, load);
+	if (turn->loads->len == 0)
+		loads_done(turn);
+}
+
+/* Returns true once the history is at hand. */
+static bool history_step(struct trn_turn *turn)
+{
+	char *missing;
+
+	g_byte_array_set_size(turn->history, 0);
+	missing = hst_join(turn->program->trn->history, turn->previous,
+			   turn->history);
+	if (missing == NULL) {
+		turn->load = LOAD_DONE;
+		return true;
+	}
+	if (turn->load == LOAD_OWNER &&
+	    (strcmp(missing, turn->missing) == 0 ||
+	     ++turn->rounds > ROUNDS_MOST)) {
+		slog("history_broken", NULL, "\"turn\":%s",
+		     slog_quote(missing));
+		g_free(missing);
+		verdict(turn, TRN_UNAVAILABLE);
+		return false;
+	}
+	g_strlcpy(turn->missing, missing, KEY_LEN);
+	g_free(missing);
+	memset(turn->found, 0, KEY_LEN);
+	if (turn->load == LOAD_NONE) {
+		turn->load = LOAD_PROGRAM;
+		read_rows_of(load_add(turn, turn->program->key),
+			     turn->program->key);
+	} else {
+		search_index(turn);
+	}
+	return false;
+}
+
+static void turn_step(struct trn_turn *turn)
+{
+	if (turn->decided)
+		return;
+	if (turn->previous[0] != '\0' && turn->load != LOAD_DONE &&
+	    !history_step(turn))
+		return;
+	if (turn->budget > 0 && !turn->opened && !budget_step(turn))
+		return;
+	if (turn->budget == 0)
+		turn->granted = true;
+	turn->decided = true;
+	turn->waiting = false;
+	turn->handler->decided(turn->arg, TRN_GO, turn->history);
+}
+
+void trn_begin(struct trn *trn, const struct trn_request *request,
+	       const struct trn_handler *handler, void *arg,
+	       struct trn_turn **slot)
+{
+	struct trn_turn *turn = g_new0(struct trn_turn, 1);
+	char key[KEY_LEN];
+
+	/* A turn without a program is a program of its own. */
+	make_key(key, 'p', request->account,
+		 request->program ? request->program : request->id);
+	turn->program = program_of(trn, key);
+	turn->program->retry_ms = RETRY_FIRST_MS;
+	turn->program->used_at = clock_boot_ms();
+	make_key(turn->key, 't', request->account, request->id);
+	if (request->retain && request->previous != NULL)
+		make_key(turn->previous, 't', request->account,
+			 request->previous);
+	turn->budget = request->budget;
+	turn->most = request->most;
+	turn->began = clock_boot_ms();
+	turn->handler = handler;
+	turn->arg = arg;
+	turn->history = g_byte_array_new();
+	turn->loads = g_ptr_array_new_with_free_func(load_free);
+	cds_list_add_tail(&turn->node, &turn->program->turns);
+	*slot = turn;
+	if (!rst_healthy(trn->store) &&
+	    (request->retain ||
+	     (turn->budget > 0 &&
+	      bgt_decide(&turn->program->bgt, turn->budget, turn->most) !=
+		      BGT_GO))) {
+		verdict(turn, TRN_UNAVAILABLE);
+		return;
+	}
+	turn_step(turn);
+}
+
+static void close_budget(struct trn_turn *turn, uint64_t used)
+{
+	if (turn->opened && !turn->closed)
+		bgt_close(&turn->program->bgt, turn->most, used);
+	turn->closed = true;
+}
+
+void trn_keep(struct trn_turn *turn, GBytes *text, uint64_t used)
+{
+	close_budget(turn, used);
+	turn->text = g_bytes_ref(text);
+	program_sync(turn->program);
+}
+
+void trn_end(struct trn_turn *turn, uint64_t used)
+{
+	close_budget(turn, used);
+	turn->program->used_at = clock_boot_ms();
+	cds_list_del(&turn->node);
+	drop_loads(turn);
+	g_ptr_array_free(turn->loads, TRUE);
+	g_byte_array_unref(turn->history);
+	if (turn->text != NULL)
+		g_bytes_unref(turn->text);
+	g_free(turn);
+}
--- a/test/sim/world.c
+++ b/test/sim/world.c
@@ -6,7 +6,7 @@
 
 #include <sodium.h>
 
-#include "platform/revision.h"
+#include "table/revision.h"
 #include "test/sim/clients.h"
 #include "test/sim/world.h"
 
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -14,7 +14,7 @@
 
 #include "decide/node.h"
 #include "decide/rng.h"
-#include "platform/memtable.h"
+#include "table/memtable.h"
 #include "test/standins/model.h"
 
 enum {
--- a/test/standins/main.c
+++ b/test/standins/main.c
@@ -14,8 +14,8 @@
 #include <civetweb.h>
 #include <json-c/json.h>
 
-#include "platform/tableclient.h"
-#include "platform/tableserver.h"
+#include "table/tableclient.h"
+#include "table/tableserver.h"
 #include "test/standins/caller.h"
 #include "test/standins/model.h"
 
--- a/test/unit/test_ledger.c
+++ b/test/unit/test_ledger.c
@@ -8,7 +8,7 @@
 
 #include "decide/ledger.h"
 #include "decide/rng.h"
-#include "platform/memtable.h"
+#include "table/memtable.h"
 
 static int64_t now = 1000;
 
