--- a/serve/turns.c
+++ b/serve/turns.c
@@ -280,27 +280,23 @@
 	}
 }
 
-/* Runs every turn that is not decided once more. */
+/* Decides once more about each turn that waits; it may end that turn only. */
 static void step_all(struct program *program)
 {
-	bool again = true;
-
-	while (again) {
-		struct trn_turn *turn;
+	GPtrArray *waiting = g_ptr_array_new();
+	struct trn_turn *turn;
 
-		again = false;
-		cds_list_for_each_entry(turn, &program->turns, node)
-		{
-			if (turn->decided || !turn->waiting)
-				continue;
-			turn->waiting = false;
-			again = true;
-			turn_step(turn);
-			break;
-		}
-		if (again && program->write != NULL)
-			break;
+	cds_list_for_each_entry(turn, &program->turns, node)
+	{
+		if (turn->waiting && !turn->decided)
+			g_ptr_array_add(waiting, turn);
+	}
+	for (guint i = 0; i < waiting->len; i++) {
+		turn = g_ptr_array_index(waiting, i);
+		turn->waiting = false;
+		turn_step(turn);
 	}
+	g_ptr_array_free(waiting, TRUE);
 }
 
 /* The store is away: what has not been sent is refused at once. */
@@ -823,6 +819,8 @@
 		turn->granted = true;
 	turn->decided = true;
 	turn->waiting = false;
+	if (turn->granted)
+		turn->handler->granted(turn->arg);
 	turn->handler->decided(turn->arg, TRN_GO, turn->history);
 }
 
--- a/serve/turns.h
+++ b/serve/turns.h
@@ -42,7 +42,7 @@
 	 * any other verdict than TRN_GO the turn waits for trn_end(). */
 	void (*decided)(void *arg, enum trn_verdict verdict,
 			const GByteArray *history);
-	/** Its tokens may be handed out. */
+	/** Its tokens may be handed out; may come before the verdict. */
 	void (*granted)(void *arg);
 	/** It is durable. */
 	void (*kept)(void *arg);
