--- a/decide/quota.c
+++ b/decide/quota.c
@@ -6,7 +6,7 @@
 /* Demand fades with this time, so that shares follow moving callers. */
 #define DEMAND_FADE_MS 1500.0
 /* Part of the rate that is dealt evenly, for demand that is new somewhere. */
-#define EVEN_PART 0.2
+#define EVEN_PART 0.05
 /* Demand below this is taken as none, in requests a second. */
 #define DEMAND_LEAST 0.05
 
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -129,10 +129,11 @@
 	wire_write_refusal(headers, wait_ms);
 	slog("refused", x->call.id,
 	     "\"status\":%d,\"cause\":\"%s\",\"wait_ms\":%" G_GINT64_FORMAT
-	     ",\"account\":%s,\"config\":%" G_GINT64_FORMAT
+	     ",\"account\":%s,\"previous\":%s,\"config\":%" G_GINT64_FORMAT
 	     ",\"config_age_ms\":%" G_GINT64_FORMAT ",\"sends\":%u,\"ms\":%"
 	     G_GINT64_FORMAT,
 	     status, cause, wait_ms, slog_quote(account_name(x)),
+	     slog_quote(x->call.previous ? x->call.previous : ""),
 	     x->cat ? cat_version(x->cat) : 0, blf_age_ms(x->shared->beliefs),
 	     x->state.sends, clock_boot_ms() - x->began);
 	sts_time(STS_REFUSAL, clock_boot_ms() - x->began);
