--- a/serve/beliefs.c
+++ b/serve/beliefs.c
@@ -192,12 +192,26 @@
 	flt_evacuate(blf->fleet, blf->out, clock_boot_ms(), COLD_PRESET_MS);
 }
 
-/* Whether entries may have lapsed because the store was away. */
-static bool after_outage(const struct blf *blf, int64_t now)
+/*
+ * How long entries that are missing may yet come back, because the store, or
+ * the way to it, was away: 0 if it was not. The time counts from its return
+ * and not from the removal, so a server that leaves meanwhile is not kept for
+ * longer than that.
+ */
+static int64_t grace_ms(const struct blf *blf)
 {
-	int64_t failed_at = rst_failed_at(blf->store);
+	int64_t regained_at = rst_regained_at(blf->store);
+	int64_t left = regained_at + RETURN_MS - clock_boot_ms();
 
-	return failed_at > 0 && now - failed_at < RETURN_MS;
+	return regained_at > 0 && left > 0 ? left : 0;
+}
+
+static void remove_lapsed_in(struct blf *blf, int64_t ms)
+{
+	struct timeval tv = {.tv_sec = ms / 1000,
+			     .tv_usec = (ms % 1000) * 1000};
+
+	event_add(blf->lapse_timer, &tv);
 }
 
 static void on_lapse_timer(evutil_socket_t fd, short what, void *arg)
@@ -219,16 +233,13 @@
 
 static void remove_server(struct blf *blf, const char *id)
 {
-	struct timeval tv = {.tv_sec = RETURN_MS / 1000};
+	int64_t grace = grace_ms(blf);
 
-	if (!after_outage(blf, clock_boot_ms())) {
-		flt_remove(blf->fleet, id);
-		slog("server", NULL, "\"server\":%s,\"state\":\"gone\"",
-		     slog_quote(id));
-		return;
-	}
 	g_hash_table_add(blf->lapsed, g_strdup(id));
-	event_add(blf->lapse_timer, &tv);
+	if (grace > 0)
+		remove_lapsed_in(blf, grace);
+	else
+		on_lapse_timer(-1, 0, blf);
 }
 
 static void take_server_row(struct blf *blf, const struct rst_row *row)
@@ -276,11 +287,11 @@
 /* All servers have been read: those that were not named are gone. */
 static void took_servers(struct blf *blf)
 {
-	struct timeval tv = {.tv_sec = RETURN_MS / 1000};
+	int64_t grace = grace_ms(blf);
 
 	flt_foreach(blf->fleet, collect_unlisted, blf);
-	if (after_outage(blf, clock_boot_ms()))
-		event_add(blf->lapse_timer, &tv);
+	if (grace > 0)
+		remove_lapsed_in(blf, grace);
 	else
 		on_lapse_timer(-1, 0, blf);
 }
