--- a/decide/quota.c
+++ b/decide/quota.c
@@ -145,39 +145,46 @@
 }
 
 /* Adds what has come in since the last time, at the share there is now. */
-static void refill(struct qta *qta, struct bucket *bucket, double rate,
-		   double burst, int64_t now)
+static void refill(struct qta *qta, struct bucket *bucket,
+		   const struct qta_limit *limit, int64_t now)
 {
 	double share = share_of(qta, bucket);
-	double most = MAX(burst * share, 1.0);
+	double most = MAX(limit->burst * share, 1.0) +
+		      limit->slack / qta->instances;
 
-	if (share < bucket->share)
+	if (share < bucket->share && bucket->tokens > 0)
 		bucket->tokens *= share / bucket->share;
 	bucket->share = share;
-	bucket->tokens += rate * share * (double)(now - bucket->at) / 1000.0;
+	bucket->tokens +=
+		limit->rate * share * (double)(now - bucket->at) / 1000.0;
 	bucket->tokens = MIN(bucket->tokens, most);
 	bucket->at = now;
 }
 
-bool qta_take(struct qta *qta, const char *account, double rate, double burst,
-	      int64_t now, int64_t *wait_ms)
+bool qta_take(struct qta *qta, const char *account,
+	      const struct qta_limit *limit, int64_t now, int64_t patience_ms,
+	      int64_t *wait_ms)
 {
 	struct bucket *bucket = bucket_of(qta, account);
-	double missing;
+	double missing_ms;
 
 	fade(bucket, now);
 	bucket->demand += 1000.0 / DEMAND_FADE_MS;
 	*wait_ms = 0;
-	if (rate <= 0)
+	if (limit->rate <= 0)
 		return true;
-	refill(qta, bucket, rate, burst, now);
+	refill(qta, bucket, limit, now);
 	if (bucket->tokens >= 1.0) {
 		bucket->tokens -= 1.0;
 		return true;
 	}
-	missing = (1.0 - bucket->tokens) / (rate * bucket->share);
-	*wait_ms = (int64_t)MIN(missing * 1000.0, (double)WAIT_MOST_MS) + 1;
-	return false;
+	missing_ms = (1.0 - bucket->tokens) * 1000.0 /
+		     (limit->rate * bucket->share);
+	*wait_ms = (int64_t)MIN(missing_ms, (double)WAIT_MOST_MS) + 1;
+	if (*wait_ms > patience_ms)
+		return false;
+	bucket->tokens -= 1.0;
+	return true;
 }
 
 void qta_give_back(struct qta *qta, const char *account)
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -37,16 +37,27 @@
 /** Says how many instances there are, this one included. */
 void qta_instances(struct qta *qta, uint32_t count);
 
+/** The limit of an account. */
+struct qta_limit {
+	double rate;  /**< requests a second; 0: none */
+	double burst; /**< requests beyond the rate */
+	double slack; /**< requests that all instances together may be off */
+};
+
 /**
  * Takes one request of @p account.
  *
- * @param rate    of the account, in requests a second; 0: no limit
- * @param burst   of the account
- * @param wait_ms receives how long to wait, if it was refused
- * @return whether the request may be sent
+ * A request that comes a little too early is let in a little later: it takes
+ * the place of a later one, so the limit holds.
+ *
+ * @param patience_ms how long the request may wait here
+ * @param wait_ms     receives how long to wait before it is sent, or, if it
+ *                    was refused, before it is worth coming back
+ * @return whether it may be sent
  */
-bool qta_take(struct qta *qta, const char *account, double rate, double burst,
-	      int64_t now, int64_t *wait_ms);
+bool qta_take(struct qta *qta, const char *account,
+	      const struct qta_limit *limit, int64_t now, int64_t patience_ms,
+	      int64_t *wait_ms);
 /** Gives back one request that was taken and has not run. */
 void qta_give_back(struct qta *qta, const char *account);
 
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -22,6 +22,7 @@
 	STORE_BACK_MS = 900,	/* the store is mostly back after seconds */
 	ELSEWHERE_MS = 50,	/* another instance may serve it at once */
 	EVEN_PRIORITY = 9,
+	QUOTA_PATIENCE_MS = 120, /* less than a refusal and a new try take */
 };
 
 struct xch {
@@ -34,6 +35,7 @@
 	const struct cat_service *service;
 	int64_t began;
 	int64_t deadline_at;
+	int64_t early_ms; /* by how much it came before its quota */
 	uint64_t fingerprint;
 	GBytes *body; /* as it goes to the server */
 
@@ -65,6 +67,7 @@
 };
 
 static void place(struct xch *x);
+static void begin_turn(struct xch *x);
 
 static const char *account_name(const struct xch *x)
 {
@@ -574,12 +577,29 @@
 		no_place(x, why, now);
 }
 
+/* Goes on with a request that was let in. */
+static void proceed(struct xch *x)
+{
+	x->early_ms = 0;
+	if (x->route->kind == CAT_STREAM &&
+	    (x->call.budget > 0 || x->route->retain)) {
+		begin_turn(x);
+		return;
+	}
+	x->granted = true;
+	place(x);
+}
+
 static void on_pause(evutil_socket_t fd, short what, void *arg)
 {
 	struct xch *x = arg;
 
 	(void)fd;
 	(void)what;
+	if (x->early_ms > 0) {
+		proceed(x);
+		return;
+	}
 	if (x->up == NULL) {
 		place(x);
 		return;
@@ -661,6 +681,23 @@
 	trn_begin(x->shared->programs, &request, &turn_handler, x, &x->turn);
 }
 
+static bool take_quota(struct xch *x)
+{
+	struct qta_limit limit = {x->account->rate, x->account->burst,
+				  x->shared->quota_slack};
+	int64_t patience = MIN(x->route->target_ms, QUOTA_PATIENCE_MS);
+	int64_t wait_ms;
+
+	if (!qta_take(x->shared->quota, x->account->name, &limit, x->began,
+		      patience, &wait_ms)) {
+		sts_count(STS_REFUSED_QUOTA);
+		reply_own(x, 429, "over quota", wait_ms);
+		return false;
+	}
+	x->early_ms = wait_ms;
+	return true;
+}
+
 /* Checks who is calling and what for; returns false if it was answered. */
 static bool admit(struct xch *x)
 {
@@ -669,7 +706,6 @@
 	guint routes;
 	guint services;
 	guint accounts;
-	int64_t wait_ms;
 
 	if (cat == NULL) {
 		sts_count(STS_REFUSED_NO_CONFIG);
@@ -698,13 +734,7 @@
 		reply_own(x, 401, "unknown key", 0);
 		return false;
 	}
-	if (!qta_take(shared->quota, x->account->name, x->account->rate,
-		      x->account->burst, x->began, &wait_ms)) {
-		sts_count(STS_REFUSED_QUOTA);
-		reply_own(x, 429, "over quota", wait_ms);
-		return false;
-	}
-	return true;
+	return take_quota(x);
 }
 
 static bool choose_service(struct xch *x)
@@ -772,13 +802,10 @@
 		x->route->kind == CAT_IDEMPOTENT ||
 		(x->route->kind == CAT_STREAM && x->route->resumable);
 	set_deadlines(x);
-	if (x->route->kind == CAT_STREAM &&
-	    (x->call.budget > 0 || x->route->retain)) {
-		begin_turn(x);
-		return;
-	}
-	x->granted = true;
-	place(x);
+	if (x->early_ms > 0)
+		set_timer(x->pause, x->early_ms);
+	else
+		proceed(x);
 }
 
 void xch_gone(struct in_request *request)
--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -35,6 +35,7 @@
 	FIELD(store, SET_ADDRESS, true, 0, 0, 0),
 	FIELD(grace_s, SET_NUMBER, false, 8, 1, 3600),
 	FIELD(revoke_ms, SET_NUMBER, false, 5000, 2000, 600000),
+	FIELD(quota_slack, SET_NUMBER, false, 0, 0, 1000000),
 	FIELD(cache_kb, SET_NUMBER, false, 3072, 64, 1048576),
 };
 
@@ -288,6 +289,8 @@
 	shared->base = gw->base;
 	shared->zone = settings->zone;
 	shared->stale_ms = (int64_t)settings->revoke_ms - KEY_SLACK_MS;
+	/* Half of it is for instances that come, go and lose each other. */
+	shared->quota_slack = settings->quota_slack / 2.0;
 	shared->up = up_create(gw->base);
 	shared->store = rst_create(gw->base, shared->up, settings->store);
 	shared->fleet = flt_create(drop_idle);
--- a/serve/gateway.h
+++ b/serve/gateway.h
@@ -21,6 +21,8 @@
 	char *store;	 /**< HOST:PORT of the platform's store */
 	uint32_t grace_s; /**< from SIGTERM to SIGKILL */
 	uint32_t revoke_ms; /**< a withdrawn key ends within that */
+	uint32_t quota_slack; /**< requests by which an account may pass its
+			       * limit, all instances together */
 	uint32_t cache_kb; /**< history of programs that is kept at hand */
 };
 
