--- a/decide/quota.c
+++ b/decide/quota.c
@@ -7,6 +7,8 @@
 #define DEMAND_FADE_MS 1500.0
 /* Part of the rate that is dealt evenly, for demand that is new somewhere. */
 #define EVEN_PART 0.05
+/* Part of the burst that new programs leave to those under way. */
+#define NEW_PROGRAM_PART 0.5
 /* Demand below this is taken as none, in requests a second. */
 #define DEMAND_LEAST 0.05
 
@@ -162,10 +164,11 @@
 }
 
 bool qta_take(struct qta *qta, const char *account,
-	      const struct qta_limit *limit, int64_t now, int64_t patience_ms,
-	      int64_t *wait_ms)
+	      const struct qta_limit *limit, bool begins, int64_t now,
+	      int64_t patience_ms, int64_t *wait_ms)
 {
 	struct bucket *bucket = bucket_of(qta, account);
+	double least = 1.0;
 	double missing_ms;
 
 	fade(bucket, now);
@@ -174,11 +177,13 @@
 	if (limit->rate <= 0)
 		return true;
 	refill(qta, bucket, limit, now);
-	if (bucket->tokens >= 1.0) {
+	if (begins)
+		least += NEW_PROGRAM_PART * limit->burst * bucket->share;
+	if (bucket->tokens >= least) {
 		bucket->tokens -= 1.0;
 		return true;
 	}
-	missing_ms = (1.0 - bucket->tokens) * 1000.0 /
+	missing_ms = (least - bucket->tokens) * 1000.0 /
 		     (limit->rate * bucket->share);
 	*wait_ms = (int64_t)MIN(missing_ms, (double)WAIT_MOST_MS) + 1;
 	if (*wait_ms > patience_ms)
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -48,16 +48,20 @@
  * Takes one request of @p account.
  *
  * A request that comes a little too early is let in a little later: it takes
- * the place of a later one, so the limit holds.
+ * the place of a later one, so the limit holds. Where an account asks for more
+ * than its limit, what is left goes to programs under way: a new program is
+ * let in only while half of the burst is left, since one that is cut short
+ * later has used its quota for nothing.
  *
+ * @param begins      it is the first request of a program
  * @param patience_ms how long the request may wait here
  * @param wait_ms     receives how long to wait before it is sent, or, if it
  *                    was refused, before it is worth coming back
  * @return whether it may be sent
  */
 bool qta_take(struct qta *qta, const char *account,
-	      const struct qta_limit *limit, int64_t now, int64_t patience_ms,
-	      int64_t *wait_ms);
+	      const struct qta_limit *limit, bool begins, int64_t now,
+	      int64_t patience_ms, int64_t *wait_ms);
 /** Gives back one request that was taken and has not run. */
 void qta_give_back(struct qta *qta, const char *account);
 
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -22,7 +22,8 @@
 	STORE_BACK_MS = 900,	/* the store is mostly back after seconds */
 	ELSEWHERE_MS = 50,	/* another instance may serve it at once */
 	EVEN_PRIORITY = 9,
-	QUOTA_PATIENCE_MS = 120, /* less than a refusal and a new try take */
+	QUOTA_PATIENCE_MS = 250, /* a refusal may end a program under way */
+	NEW_PATIENCE_MS = 60,	 /* a refusal loses nothing but its way */
 };
 
 struct xch {
@@ -681,15 +682,24 @@
 	trn_begin(x->shared->programs, &request, &turn_handler, x, &x->turn);
 }
 
+/* Whether this is, as far as is known here, the first turn of a program. */
+static bool begins_program(const struct xch *x)
+{
+	return x->route->kind == CAT_STREAM && x->call.program != NULL &&
+	       x->call.previous == NULL &&
+	       !g_hash_table_contains(x->shared->sessions, x->call.program);
+}
+
 static bool take_quota(struct xch *x)
 {
 	struct qta_limit limit = {x->account->rate, x->account->burst,
 				  x->shared->quota_slack};
-	int64_t patience = MIN(x->route->target_ms, QUOTA_PATIENCE_MS);
+	bool begins = begins_program(x);
+	int64_t patience = begins ? NEW_PATIENCE_MS : QUOTA_PATIENCE_MS;
 	int64_t wait_ms;
 
-	if (!qta_take(x->shared->quota, x->account->name, &limit, x->began,
-		      patience, &wait_ms)) {
+	if (!qta_take(x->shared->quota, x->account->name, &limit, begins,
+		      x->began, patience, &wait_ms)) {
 		sts_count(STS_REFUSED_QUOTA);
 		reply_own(x, 429, "over quota", wait_ms);
 		return false;
