--- a/apricotshift/cmd_serve.c
+++ b/apricotshift/cmd_serve.c
@@ -9,13 +9,13 @@
 #include "cmd.h"
 #include "decide/rules.h"
 #include "options.h"
-#include "table/revision.h"
-#include "table/tableclient.h"
-#include "table/tableserver.h"
 #include "serve/http.h"
 #include "serve/log.h"
 #include "serve/loop.h"
 #include "serve/settings.h"
+#include "table/revision.h"
+#include "table/tableclient.h"
+#include "table/tableserver.h"
 
 enum {
 	US_PER_MS = 1000,
--- a/decide/budget.h
+++ b/decide/budget.h
@@ -19,18 +19,18 @@
 
 /** The budget of one program; all amounts are tokens. */
 struct bgt {
-	bool known;	/**< the row has been read */
+	bool known;	 /**< the row has been read */
 	uint64_t others; /**< sum of the caps of other incarnations */
-	uint64_t cap;	/**< our cap, as confirmed by the store */
-	uint64_t spent; /**< handed to callers by us */
-	uint64_t open;	/**< most that our running turns may still hand out */
+	uint64_t cap;	 /**< our cap, as confirmed by the store */
+	uint64_t spent;	 /**< handed to callers by us */
+	uint64_t open;	 /**< most that our running turns may still hand out */
 };
 
 /** What a turn may do. */
 enum bgt_verdict {
-	BGT_GO,	    /**< it may run: its tokens are within our cap */
-	BGT_RAISE,  /**< our cap has to be raised first */
-	BGT_SPENT,  /**< the budget does not hold it, by what we know */
+	BGT_GO,	   /**< it may run: its tokens are within our cap */
+	BGT_RAISE, /**< our cap has to be raised first */
+	BGT_SPENT, /**< the budget does not hold it, by what we know */
 };
 
 /** Decides about a turn that may generate @p most of @p budget tokens. */
--- a/decide/catalog.c
+++ b/decide/catalog.c
@@ -196,9 +196,8 @@
 	return g_hash_table_lookup(cat->services, name);
 }
 
-const struct cat_service *cat_choose(const struct cat *cat,
-				     const struct cat_route *route,
-				     uint64_t hash)
+const struct cat_service *
+cat_choose(const struct cat *cat, const struct cat_route *route, uint64_t hash)
 {
 	uint64_t total = 0;
 	uint64_t at;
--- a/decide/catalog.h
+++ b/decide/catalog.h
@@ -27,8 +27,8 @@
 	int64_t cold_start_ms; /**< how long a new server stays cold */
 	double cold_per_s;     /**< requests a second that a cold one bears */
 	uint32_t max_conns;    /**< connections of all callers to one server */
-	uint32_t stride;       /**< tokens in each event; 0 for plain services */
-	bool engine;	       /**< a model engine */
+	uint32_t stride; /**< tokens in each event; 0 for plain services */
+	bool engine;	 /**< a model engine */
 };
 
 /** A share of a route's requests. */
@@ -115,8 +115,7 @@
 const struct cat_service *cat_find_service(const struct cat *cat,
 					   const char *name);
 /** The service that takes a request; @p hash spreads requests by weight. */
-const struct cat_service *cat_choose(const struct cat *cat,
-				     const struct cat_route *route,
-				     uint64_t hash);
+const struct cat_service *
+cat_choose(const struct cat *cat, const struct cat_route *route, uint64_t hash);
 
 #endif
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -20,10 +20,10 @@
 	const char *service;
 	const char *address; /**< HOST:PORT */
 	const char *zone;
-	uint32_t slots;		 /**< requests that it runs at once */
-	bool draining;		 /**< takes nothing new */
-	int64_t cold_ms;	 /**< how much longer it stays cold */
-	int64_t born_ms;	 /**< time of its start, by its own clock */
+	uint32_t slots;	 /**< requests that it runs at once */
+	bool draining;	 /**< takes nothing new */
+	int64_t cold_ms; /**< how much longer it stays cold */
+	int64_t born_ms; /**< time of its start, by its own clock */
 };
 
 struct flt_server;
@@ -39,34 +39,34 @@
 	char *zone;
 	uint32_t slots;
 	bool draining;
-	bool listed;	       /**< still on the platform's list */
-	bool evacuated;	       /**< its zone takes nothing new */
+	bool listed;	/**< still on the platform's list */
+	bool evacuated; /**< its zone takes nothing new */
 	int64_t born_ms;
 	int64_t cold_until;
 	uint32_t running;      /**< sent by this instance, not yet ended */
 	uint32_t told_running; /**< its own last word on its load */
 	uint32_t told_waiting;
-	int64_t told_at;       /**< when it said so */
-	uint32_t told_own;     /**< @ref running at that moment */
-	int64_t avoid_until;   /**< after a failure: not before this time */
-	uint32_t failures;     /**< in a row */
-	GQueue *sends;	       /**< times of the sends of the last second */
-	GQueue *idle;	       /**< kept connections; owned by the caller */
-	double pace;	       /**< measured time over expected time, smoothed */
+	int64_t told_at;     /**< when it said so */
+	uint32_t told_own;   /**< @ref running at that moment */
+	int64_t avoid_until; /**< after a failure: not before this time */
+	uint32_t failures;   /**< in a row */
+	GQueue *sends;	     /**< times of the sends of the last second */
+	GQueue *idle;	     /**< kept connections; owned by the caller */
+	double pace;	     /**< measured time over expected time, smoothed */
 	flt_drop_idle *drop;
 };
 
 /** What a request needs of a backend server. */
 struct flt_query {
 	const char *service;
-	const char *zone;	/**< of this instance */
-	const char *sticky;	/**< id of the server to prefer, or NULL */
-	uint64_t affinity;	/**< equal for requests that share state; 0 */
-	double affinity_ms;	/**< what missing that state costs */
-	double away_ms;		/**< what leaving the zone costs */
-	double work_ms;		/**< what one request ahead of it costs */
-	double cold_per_s;	/**< requests a second that a cold server bears */
-	uint32_t instances;	/**< that share this limit */
+	const char *zone;   /**< of this instance */
+	const char *sticky; /**< id of the server to prefer, or NULL */
+	uint64_t affinity;  /**< equal for requests that share state; 0 */
+	double affinity_ms; /**< what missing that state costs */
+	double away_ms;	    /**< what leaving the zone costs */
+	double work_ms;	    /**< what one request ahead of it costs */
+	double cold_per_s;  /**< requests a second that a cold server bears */
+	uint32_t instances; /**< that share this limit */
 	const GPtrArray *tried; /**< ids of servers to leave out */
 };
 
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -19,9 +19,9 @@
 
 struct bucket {
 	double tokens;
-	double share;	 /* the part of rate and burst that is ours */
-	int64_t at;	 /* when tokens were last added */
-	double demand;	 /* requests a second */
+	double share;  /* the part of rate and burst that is ours */
+	int64_t at;    /* when tokens were last added */
+	double demand; /* requests a second */
 	int64_t demand_at;
 	GHashTable *others; /* instance -> double * of its demand */
 };
@@ -47,8 +47,8 @@
 
 	qta->started = now;
 	qta->instances = INSTANCES_UNKNOWN;
-	qta->heard = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					   NULL);
+	qta->heard =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	qta->buckets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     bucket_free);
 	return qta;
@@ -73,8 +73,8 @@
 	bucket->tokens = 1.0;
 	bucket->at = qta->started;
 	bucket->demand_at = qta->started;
-	bucket->others = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					       g_free);
+	bucket->others =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_hash_table_insert(qta->buckets, g_strdup(account), bucket);
 	return bucket;
 }
@@ -151,8 +151,8 @@
 		   const struct qta_limit *limit, int64_t now)
 {
 	double share = share_of(qta, bucket);
-	double most = MAX(limit->burst * share, 1.0) +
-		      limit->slack / qta->instances;
+	double most =
+		MAX(limit->burst * share, 1.0) + limit->slack / qta->instances;
 
 	if (share < bucket->share && bucket->tokens > 0)
 		bucket->tokens *= share / bucket->share;
--- a/decide/retry.c
+++ b/decide/retry.c
@@ -2,8 +2,8 @@
 #include "retry.h"
 
 enum {
-	SENDS_MOST = 12,      /* of one request, all servers together */
-	LEFT_LEAST_MS = 15,   /* too little to run anything */
+	SENDS_MOST = 12,    /* of one request, all servers together */
+	LEFT_LEAST_MS = 15, /* too little to run anything */
 	SILENCE_LEAST_MS = 250,
 	COME_BACK_LEAST_MS = 40,
 	COME_BACK_MOST_MS = 250,
@@ -17,8 +17,8 @@
 
 enum rty_next rty_after(const struct rty_state *state, enum rty_end end)
 {
-	bool in_time = state->left_ms > LEFT_LEAST_MS &&
-		       state->sends < SENDS_MOST;
+	bool in_time =
+		state->left_ms > LEFT_LEAST_MS && state->sends < SENDS_MOST;
 
 	if (state->begun)
 		return in_time && (end != RTY_BROKEN || may_run_again(state))
@@ -43,8 +43,8 @@
 int64_t rty_silence_ms(const struct rty_state *state, int64_t target_ms,
 		       int64_t pause_ms)
 {
-	int64_t ms = state->begun && pause_ms > 0 ? 2 * pause_ms
-						  : 3 * target_ms;
+	int64_t ms =
+		state->begun && pause_ms > 0 ? 2 * pause_ms : 3 * target_ms;
 
 	if (!state->idempotent || state->runs >= state->attempts)
 		return 0;
--- a/decide/suspect.c
+++ b/decide/suspect.c
@@ -6,8 +6,8 @@
 #include "suspect.h"
 
 enum {
-	SERVERS_MOST = 3,     /* the third breaks the habit */
-	WINDOW_MS = 20000,    /* breaks further apart are chance */
+	SERVERS_MOST = 3,  /* the third breaks the habit */
+	WINDOW_MS = 20000, /* breaks further apart are chance */
 	REFUSED_MS = 60000,
 	HELD_MOST = 4096,
 };
--- a/serve/beliefs.c
+++ b/serve/beliefs.c
@@ -10,11 +10,11 @@
 #include "stats.h"
 
 enum {
-	CONFIG_WAIT_MS = 1000, /* bounds the age of the configuration */
+	CONFIG_WAIT_MS = 1000,	/* bounds the age of the configuration */
 	SERVERS_WAIT_MS = 1500, /* a feed that went silent ends soon after */
 	RETRY_MS = 60,
 	PROBE_WAIT_MS = 20, /* while the store seems to be away */
-	RETURN_MS = 2000, /* entries that lapsed in an outage are back then */
+	RETURN_MS = 2000,   /* entries that lapsed in an outage are back then */
 	COLD_PRESET_MS = 4000, /* for zones that come back */
 };
 
@@ -104,8 +104,7 @@
 				follow->version = answer->version;
 			took_page(follow, answer);
 		} else {
-			follow->version =
-				MAX(follow->version, answer->version);
+			follow->version = MAX(follow->version, answer->version);
 		}
 		if (follow == &follow->blf->config && follow->begun)
 			follow->blf->confirmed_at = answer->sent_at;
@@ -152,8 +151,7 @@
 	cat_unref(blf->cat);
 	blf->cat = cat;
 	sts_count(STS_CONFIGS);
-	slog("config", NULL, "\"version\":%" G_GINT64_FORMAT,
-	     cat_version(cat));
+	slog("config", NULL, "\"version\":%" G_GINT64_FORMAT, cat_version(cat));
 	blf->changed(blf->arg, cat);
 }
 
@@ -257,8 +255,7 @@
 	}
 	text = g_bytes_get_data(row->value, &len);
 	if (!wire_read_server(row->key, text, len, &entry, &root)) {
-		slog("server", NULL,
-		     "\"server\":%s,\"state\":\"unreadable\"",
+		slog("server", NULL, "\"server\":%s,\"state\":\"unreadable\"",
 		     slog_quote(row->key));
 		flt_remove(blf->fleet, row->key);
 		json_object_put(root);
--- a/serve/call.h
+++ b/serve/call.h
@@ -10,7 +10,7 @@
 
 /** What a caller's request says; texts belong to the request. */
 struct call {
-	const char *id;	      /**< of this attempt; never NULL */
+	const char *id; /**< of this attempt; never NULL */
 	const char *host;
 	const char *path;     /**< path and query */
 	const char *key;      /**< the caller's key, or NULL */
@@ -18,7 +18,7 @@
 	const char *program;  /**< or NULL */
 	const char *session;  /**< one line of turns in a program, or NULL */
 	const char *previous; /**< turn that this one continues, or NULL */
-	uint64_t budget;      /**< tokens of all turns of the program; 0: none */
+	uint64_t budget; /**< tokens of all turns of the program; 0: none */
 	uint64_t prompt_tokens;
 	uint64_t most_tokens; /**< that this turn may generate */
 	uint64_t shared;      /**< hash of the prompt's first part; 0: none */
@@ -28,13 +28,13 @@
 
 /** What a backend server's answer says beside status and body. */
 struct answer {
-	bool not_executed;  /**< the request has not run there */
-	bool other_server;  /**< the address belongs to another server */
-	bool encoded;	    /**< the body is not in the server's own bytes */
+	bool not_executed; /**< the request has not run there */
+	bool other_server; /**< the address belongs to another server */
+	bool encoded;	   /**< the body is not in the server's own bytes */
 	bool load_told;
 	uint32_t running;
 	uint32_t waiting;
-	bool is_signed;	    /**< the server vouches for the body */
+	bool is_signed; /**< the server vouches for the body */
 	bool event_stream;
 };
 
--- a/serve/events.h
+++ b/serve/events.h
@@ -13,8 +13,8 @@
 struct evt {
 	const char *raw; /**< the event's bytes with the line that ends it */
 	size_t raw_len;
-	int64_t id;	  /**< -1: it has none */
-	GString *data;	  /**< its data lines, joined by line feeds */
+	int64_t id;    /**< -1: it has none */
+	GString *data; /**< its data lines, joined by line feeds */
 	gboolean has_data;
 };
 
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -19,8 +19,8 @@
 	AWAY_MS = 4,		/* a request to another zone, and its bytes */
 	STICKY_MS = 12,		/* the history of a line, read again */
 	SESSION_MS = 65000,
-	STORE_BACK_MS = 900,	/* the store is mostly back after seconds */
-	ELSEWHERE_MS = 50,	/* another instance may serve it at once */
+	STORE_BACK_MS = 900, /* the store is mostly back after seconds */
+	ELSEWHERE_MS = 50,   /* another instance may serve it at once */
 	EVEN_PRIORITY = 9,
 	QUOTA_PATIENCE_MS = 250, /* a refusal may end a program under way */
 	NEW_PATIENCE_MS = 60,	 /* a refusal loses nothing but its way */
@@ -54,10 +54,10 @@
 
 	int status;
 	GString *headers;
-	GByteArray *held;    /* body, or events that are not granted yet */
+	GByteArray *held; /* body, or events that are not granted yet */
 	bool streaming;
 	struct evt_splitter *events;
-	GString *output;     /* data of all events, for turns that are kept */
+	GString *output; /* data of all events, for turns that are kept */
 	int64_t last_event;
 	uint64_t used;
 	bool ended; /* the server's answer is whole */
@@ -134,8 +134,8 @@
 	slog("refused", x->call.id,
 	     "\"status\":%d,\"cause\":\"%s\",\"wait_ms\":%" G_GINT64_FORMAT
 	     ",\"account\":%s,\"previous\":%s,\"config\":%" G_GINT64_FORMAT
-	     ",\"config_age_ms\":%" G_GINT64_FORMAT ",\"sends\":%u,\"ms\":%"
-	     G_GINT64_FORMAT,
+	     ",\"config_age_ms\":%" G_GINT64_FORMAT
+	     ",\"sends\":%u,\"ms\":%" G_GINT64_FORMAT,
 	     status, cause, wait_ms, slog_quote(account_name(x)),
 	     slog_quote(x->call.previous ? x->call.previous : ""),
 	     x->cat ? cat_version(x->cat) : 0, blf_age_ms(x->shared->beliefs),
@@ -293,8 +293,8 @@
 	enum rty_next next;
 
 	slog("no_answer", x->call.id,
-	     "\"server\":%s,\"cause\":\"%s\",\"ran\":\"%s\",\"ms\":%"
-	     G_GINT64_FORMAT,
+	     "\"server\":%s,\"cause\":\"%s\",\"ran\":\"%s\",\"ms\":"
+	     "%" G_GINT64_FORMAT,
 	     slog_quote(x->server->id), cause,
 	     end == RTY_BROKEN ? "unknown" : "no", now - x->sent_at);
 	if (end == RTY_BROKEN)
@@ -350,8 +350,7 @@
 	x->state.left_ms = x->deadline_at - clock_boot_ms();
 	/* The send under way counts as a run. */
 	x->state.runs++;
-	ms = rty_silence_ms(&x->state, x->route->target_ms,
-			    x->route->pause_ms);
+	ms = rty_silence_ms(&x->state, x->route->target_ms, x->route->pause_ms);
 	x->state.runs--;
 	if (ms > 0)
 		set_timer(x->pause, ms);
@@ -369,8 +368,7 @@
 		flt_told(x->server, x->answer.running, x->answer.waiting,
 			 clock_boot_ms());
 	if (x->answer.not_executed || x->answer.other_server ||
-	    x->answer.encoded ||
-	    (head->status < 300 && !x->answer.is_signed))
+	    x->answer.encoded || (head->status < 300 && !x->answer.is_signed))
 		return;
 	if (x->headers != NULL) {
 		x->misfit = head->status != 200 || !x->answer.event_stream;
@@ -498,13 +496,13 @@
 	flt_sent(server, now);
 	sts_count(STS_SENT);
 	slog("sent", x->call.id,
-	     "\"server\":%s,\"running\":%u,\"told\":%u,\"told_ms\":%"
-	     G_GINT64_FORMAT ",\"left_ms\":%" G_GINT64_FORMAT
+	     "\"server\":%s,\"running\":%u,\"told\":%u,\"told_ms\":"
+	     "%" G_GINT64_FORMAT ",\"left_ms\":%" G_GINT64_FORMAT
 	     ",\"route\":%s,\"config\":%" G_GINT64_FORMAT,
 	     slog_quote(server->id), server->running,
-	     server->told_running + server->told_waiting,
-	     now - server->told_at, forward.deadline_ms,
-	     slog_quote(x->route->name), cat_version(x->cat));
+	     server->told_running + server->told_waiting, now - server->told_at,
+	     forward.deadline_ms, slog_quote(x->route->name),
+	     cat_version(x->cat));
 	request.head = wire_write_call(x->request, &forward,
 				       g_bytes_get_size(x->body));
 	x->up = up_start(x->shared->up, &request, &server_handler, x);
@@ -514,8 +512,8 @@
 /* No server can take it now: look again soon, or refuse it. */
 static void no_place(struct xch *x, enum flt_none why, int64_t now)
 {
-	int64_t patience = rty_patience_ms(x->route->target_ms,
-					   x->deadline_at - x->began);
+	int64_t patience =
+		rty_patience_ms(x->route->target_ms, x->deadline_at - x->began);
 	int64_t wait = rty_come_back_ms(x->route->target_ms);
 
 	if (x->state.begun) {
@@ -532,7 +530,7 @@
 		fail(x, "no other server", 502);
 	else
 		refuse(x, STS_REFUSED_FULL, 503,
-		       why == FLT_NO_SERVER ? "no server in service"
+		       why == FLT_NO_SERVER  ? "no server in service"
 		       : why == FLT_ALL_COLD ? "servers cold"
 					     : "servers full",
 		       wait);
@@ -757,9 +755,9 @@
 		refuse(x, STS_REFUSED_FULL, 503, "no service", 0);
 		return false;
 	}
-	x->fingerprint = sus_fingerprint(account_name(x), x->call.path,
-					 x->request->body->data,
-					 x->request->body->len);
+	x->fingerprint =
+		sus_fingerprint(account_name(x), x->call.path,
+				x->request->body->data, x->request->body->len);
 	if (x->request->body->len > 0 &&
 	    sus_refused(x->shared->suspects, x->fingerprint, x->began,
 			&wait_ms)) {
--- a/serve/exchange.h
+++ b/serve/exchange.h
@@ -29,7 +29,7 @@
 	struct trn *programs;
 	const char *zone;
 	double quota_slack; /**< see struct qta_limit */
-	int64_t stale_ms; /**< age at which a configuration lets no key in */
+	int64_t stale_ms;   /**< age at which a configuration lets no key in */
 	GHashTable *sessions; /**< line of turns -> struct xch_session */
 };
 
--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -14,16 +14,18 @@
 #include "stats.h"
 
 enum {
-	TICK_MS = 200,		/* logs, and the steps of a stop */
-	LISTEN_ON_MS = 3200,	/* the balancer asks each second, twice */
-	END_EARLY_MS = 500,	/* before the process is killed */
-	KEY_SLACK_MS = 1500,	/* watchers may be a second behind, and a
-				 * request has a way to go */
+	TICK_MS = 200,	     /* logs, and the steps of a stop */
+	LISTEN_ON_MS = 3200, /* the balancer asks each second, twice */
+	END_EARLY_MS = 500,  /* before the process is killed */
+	KEY_SLACK_MS = 1500, /* watchers may be a second behind, and a
+			      * request has a way to go */
 };
 
-#define FIELD(name, type, required, preset, min, max) \
-	{#name, offsetof(struct gw_settings, name), type, required, preset, \
-	 min, max}
+#define FIELD(name, type, required, preset, min, max)                          \
+	{                                                                      \
+#name, offsetof(struct gw_settings, name), type, required,     \
+			preset, min, max                                       \
+	}
 
 static const struct set_field fields[] = {
 	FIELD(id, SET_STRING, true, 0, 0, 0),
@@ -98,8 +100,7 @@
 	if (ready != gw->was_ready)
 		slog("ready", NULL,
 		     "\"ready\":%s,\"config_age_ms\":%" G_GINT64_FORMAT,
-		     ready ? "true" : "false",
-		     blf_age_ms(gw->shared.beliefs));
+		     ready ? "true" : "false", blf_age_ms(gw->shared.beliefs));
 	gw->was_ready = ready;
 	in_reply(request, ready ? 200 : 503, "", NULL, 0);
 }
@@ -299,8 +300,8 @@
 	shared->programs =
 		trn_create(gw->base, shared->store, members.incarnation,
 			   (uint64_t)settings->cache_kb * 1024);
-	shared->sessions = g_hash_table_new_full(g_str_hash, g_str_equal,
-						 g_free, g_free);
+	shared->sessions =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	shared->beliefs = blf_create(gw->base, shared->store, shared->fleet,
 				     on_config, gw);
 	members.store = shared->store;
--- a/serve/hdr.c
+++ b/serve/hdr.c
@@ -96,10 +96,11 @@
 gboolean hdr_is_hop_by_hop(const GArray *headers, const char *name)
 {
 	static const char *const names[] = {
-		"Connection",  "Keep-Alive",	  "Proxy-Connection",
-		"TE",	       "Trailer",	  "Transfer-Encoding",
-		"Upgrade",     "Content-Length",  "Expect",
-		"Proxy-Authorization",
+		"Connection",	    "Keep-Alive",
+		"Proxy-Connection", "TE",
+		"Trailer",	    "Transfer-Encoding",
+		"Upgrade",	    "Content-Length",
+		"Expect",	    "Proxy-Authorization",
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
--- a/serve/inbound.c
+++ b/serve/inbound.c
@@ -15,20 +15,20 @@
 #include "inbound.h"
 
 enum {
-	SWEEP_MS = 250,	      /* how often time limits are looked at */
-	LINGER_MS = 1000,     /* for the caller to read its last answer */
+	SWEEP_MS = 250,	       /* how often time limits are looked at */
+	LINGER_MS = 1000,      /* for the caller to read its last answer */
 	PIPELINE_MOST = 65536, /* bytes read ahead of an answer */
 	BACKLOG = 1024,
-	BODY_MS = 30000,      /* to the end of a body */
+	BODY_MS = 30000, /* to the end of a body */
 };
 
 enum conn_state {
-	CONN_IDLE,    /* no byte of a request */
+	CONN_IDLE, /* no byte of a request */
 	CONN_HEAD,
 	CONN_BODY,
-	CONN_ANSWER,  /* a request is with the handler */
-	CONN_FLUSH,   /* the last answer is being written */
-	CONN_LINGER,  /* waiting for the caller to close */
+	CONN_ANSWER, /* a request is with the handler */
+	CONN_FLUSH,  /* the last answer is being written */
+	CONN_LINGER, /* waiting for the caller to close */
 };
 
 struct in {
@@ -345,9 +345,8 @@
 	conn->since = clock_boot_ms();
 	http_parser_init(&conn->parser, HTTP_REQUEST);
 	conn->parser.data = conn;
-	conn->bev = bufferevent_socket_new(in->base, fd,
-					   BEV_OPT_CLOSE_ON_FREE |
-						   BEV_OPT_DEFER_CALLBACKS);
+	conn->bev = bufferevent_socket_new(
+		in->base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
 	bufferevent_setcb(conn->bev, on_read, on_flushed, on_event, conn);
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, PIPELINE_MOST);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
@@ -419,9 +418,8 @@
 	in->limits = presets;
 	CDS_INIT_LIST_HEAD(&in->conns);
 	in->listener = evconnlistener_new_bind(
-		base, on_accept, in,
-		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, BACKLOG,
-		(struct sockaddr *)&addr, len);
+		base, on_accept, in, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+		BACKLOG, (struct sockaddr *)&addr, len);
 	if (in->listener == NULL) {
 		g_free(in);
 		return NULL;
@@ -467,8 +465,7 @@
 	struct in_conn *conn;
 	struct in_conn *next;
 
-	cds_list_for_each_entry_safe(conn, next, &in->conns, node)
-	{
+	cds_list_for_each_entry_safe(conn, next, &in->conns, node) {
 		if (conn->state == CONN_IDLE &&
 		    evbuffer_get_length(bufferevent_get_input(conn->bev)) == 0)
 			conn_free(conn);
--- a/serve/inbound.h
+++ b/serve/inbound.h
@@ -21,7 +21,7 @@
 /** One request. */
 struct in_request {
 	const char *method;
-	const char *target; /**< path and query, as sent */
+	const char *target;    /**< path and query, as sent */
 	const GArray *headers; /**< see hdr.h */
 	GByteArray *body;
 	int64_t read_at; /**< CLOCK_BOOTTIME, in ms, of its last byte */
--- a/serve/members.c
+++ b/serve/members.c
@@ -15,16 +15,16 @@
 #define MEMBERS_PART ""
 
 enum {
-	GOSSIP_MS = 250,     /* a share of an account's rate follows demand
-			      * within about two of these */
-	RENEW_MS = 2000,     /* rows of members, and the reading of them */
-	SILENT_MS = 1500,    /* not heard for so long */
-	GONE_MS = 5000,	     /* and its row not renewed for so long */
-	FORGET_MS = 60000,   /* rows of instances that are gone */
-	FRESH_MS = 3000,     /* a configuration younger than that is in use */
+	GOSSIP_MS = 250,   /* a share of an account's rate follows demand
+			    * within about two of these */
+	RENEW_MS = 2000,   /* rows of members, and the reading of them */
+	SILENT_MS = 1500,  /* not heard for so long */
+	GONE_MS = 5000,	   /* and its row not renewed for so long */
+	FORGET_MS = 60000, /* rows of instances that are gone */
+	FRESH_MS = 3000,   /* a configuration younger than that is in use */
 	DATAGRAM_MOST = 8192,
-	MARKS_MOST = 16,     /* in one datagram */
-	MARK_REPEATS = 4,    /* datagrams get lost */
+	MARKS_MOST = 16,  /* in one datagram */
+	MARK_REPEATS = 4, /* datagrams get lost */
 };
 
 struct member {
@@ -112,8 +112,8 @@
 
 		if (member->counted == gone)
 			slog("member", NULL,
-			     "\"peer\":%s,\"state\":\"%s\",\"heard_ms\":%"
-			     G_GINT64_FORMAT,
+			     "\"peer\":%s,\"state\":\"%s\",\"heard_ms\":"
+			     "%" G_GINT64_FORMAT,
 			     slog_quote(member->id), gone ? "gone" : "there",
 			     now - member->heard_at);
 		member->counted = !gone;
@@ -246,7 +246,8 @@
 	qta_heard(mbr->config.quota, gossip->id);
 	for (size_t i = 0; i < gossip->n_demands; i++)
 		qta_told(mbr->config.quota, gossip->id,
-			 gossip->demands[i]->account, gossip->demands[i]->per_s);
+			 gossip->demands[i]->account,
+			 gossip->demands[i]->per_s);
 	for (size_t i = 0; i < gossip->n_marks; i++)
 		mbr->config.marked(mbr->config.arg,
 				   gossip->marks[i]->fingerprint,
--- a/serve/settings.c
+++ b/serve/settings.c
@@ -11,9 +11,11 @@
 	SET_TEXT_MAX = 65536,
 };
 
-#define FIELD(name, type, required, preset, min, max) \
-	{#name, offsetof(struct settings, name), type, required, preset, min, \
-	 max}
+#define FIELD(name, type, required, preset, min, max)                          \
+	{                                                                      \
+#name, offsetof(struct settings, name), type, required,        \
+			preset, min, max                                       \
+	}
 
 static const struct set_field fields[] = {
 	FIELD(id, SET_STRING, true, 0, 0, 0),
--- a/serve/slog.c
+++ b/serve/slog.c
@@ -9,9 +9,9 @@
 #include "slog.h"
 
 enum {
-	LINES_PER_S = 200,	/* of one kind */
-	HELD_MOST = 262144,	/* bytes that wait for a slow reader */
-	FLUSH_AT = 8192,	/* bytes written at once */
+	LINES_PER_S = 200,  /* of one kind */
+	HELD_MOST = 262144, /* bytes that wait for a slow reader */
+	FLUSH_AT = 8192,    /* bytes written at once */
 	QUOTE_MOST = 200,
 	QUOTES = 8,
 };
@@ -35,8 +35,8 @@
 		(void)fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 	g_strlcpy(slog_instance, slog_quote(instance), sizeof(slog_instance));
 	slog_held = g_string_sized_new(FLUSH_AT);
-	slog_kinds = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					   g_free);
+	slog_kinds =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 }
 
 const char *slog_quote(const char *text)
@@ -80,8 +80,7 @@
 		*dropped = kind->dropped;
 		kind->dropped = 0;
 	}
-	if (kind->lines++ < LINES_PER_S &&
-	    slog_held->len < HELD_MOST)
+	if (kind->lines++ < LINES_PER_S && slog_held->len < HELD_MOST)
 		return TRUE;
 	kind->dropped++;
 	slog_lost++;
--- a/serve/stats.c
+++ b/serve/stats.c
@@ -2,7 +2,7 @@
 #include "stats.h"
 
 /* Upper bounds of the buckets, in ms. */
-static const int64_t bounds[] = {1,   2,   5,	10,   20,   50,	 100,
+static const int64_t bounds[] = {1,   2,   5,	 10,   20,   50,   100,
 				 200, 500, 1000, 2000, 5000, 10000};
 
 enum {
@@ -12,7 +12,8 @@
 static const char *const counter_names[STS_COUNTERS] = {
 	[STS_REQUESTS] = "requests_total",
 	[STS_REFUSED_NO_CONFIG] = "refused_total{cause=\"no configuration\"}",
-	[STS_REFUSED_STALE_CONFIG] = "refused_total{cause=\"old configuration\"}",
+	[STS_REFUSED_STALE_CONFIG] =
+		"refused_total{cause=\"old configuration\"}",
 	[STS_REFUSED_KEY] = "refused_total{cause=\"key\"}",
 	[STS_REFUSED_ROUTE] = "refused_total{cause=\"route\"}",
 	[STS_REFUSED_QUOTA] = "refused_total{cause=\"quota\"}",
@@ -37,9 +38,12 @@
 };
 
 static const char *const latency_names[STS_LATENCIES] = {
-	[STS_FIRST_EVENT] = "first_event", [STS_STREAM] = "stream",
-	[STS_CALL] = "call",		   [STS_COMMIT] = "commit",
-	[STS_STORE] = "store_call",	   [STS_REFUSAL] = "refusal",
+	[STS_FIRST_EVENT] = "first_event",
+	[STS_STREAM] = "stream",
+	[STS_CALL] = "call",
+	[STS_COMMIT] = "commit",
+	[STS_STORE] = "store_call",
+	[STS_REFUSAL] = "refusal",
 };
 
 static uint64_t counters[STS_COUNTERS];
@@ -93,8 +97,9 @@
 void sts_print(GString *out)
 {
 	for (guint i = 0; i < STS_COUNTERS; i++)
-		g_string_append_printf(out, "apricotshift_%s %" G_GUINT64_FORMAT
-				       "\n", counter_names[i], counters[i]);
+		g_string_append_printf(
+			out, "apricotshift_%s %" G_GUINT64_FORMAT "\n",
+			counter_names[i], counters[i]);
 	for (guint i = 0; i < STS_LATENCIES; i++)
 		print_latency(out, i);
 }
--- a/serve/turns.c
+++ b/serve/turns.c
@@ -7,24 +7,24 @@
 #include "clock.h"
 #include "decide/budget.h"
 #include "decide/history.h"
-#include "turns.h"
 #include "proto/message.h"
 #include "proto/rows.pb-c.h"
 #include "slog.h"
 #include "stats.h"
+#include "turns.h"
 
 #define PROGRAMS_TABLE "aps-programs" /* budget rows and turns */
 #define TURNS_TABLE "aps-turns"	      /* turn -> program */
 
 enum {
-	PARTS = 16,	   /* each commits one transaction after another */
-	KEY_BYTES = 16,	   /* of a hash */
+	PARTS = 16,	/* each commits one transaction after another */
+	KEY_BYTES = 16, /* of a hash */
 	KEY_LEN = 2 * KEY_BYTES + 1,
 	PIECE_BYTES = 45000, /* fits a row of 64 KiB in base64 */
 	RETRY_FIRST_MS = 15,
 	RETRY_MOST_MS = 250,
-	ROUNDS_MOST = 8,   /* programs that one chain passes through */
-	IDLE_MS = 65000,   /* a program that long idle leaves the memory */
+	ROUNDS_MOST = 8, /* programs that one chain passes through */
+	IDLE_MS = 65000, /* a program that long idle leaves the memory */
 	SWEEP_MS = 10000,
 };
 
@@ -269,8 +269,7 @@
 	struct trn_turn *turn;
 	struct trn_turn *next;
 
-	cds_list_for_each_entry_safe(turn, next, &program->turns, node)
-	{
+	cds_list_for_each_entry_safe(turn, next, &program->turns, node) {
 		if (!turn->opened || turn->granted || turn->closed ||
 		    program->bgt.spent + program->bgt.open > program->bgt.cap)
 			continue;
@@ -286,8 +285,7 @@
 	GPtrArray *waiting = g_ptr_array_new();
 	struct trn_turn *turn;
 
-	cds_list_for_each_entry(turn, &program->turns, node)
-	{
+	cds_list_for_each_entry(turn, &program->turns, node) {
 		if (turn->waiting && !turn->decided)
 			g_ptr_array_add(waiting, turn);
 	}
@@ -305,8 +303,7 @@
 	struct trn_turn *turn;
 	struct trn_turn *next;
 
-	cds_list_for_each_entry_safe(turn, next, &program->turns, node)
-	{
+	cds_list_for_each_entry_safe(turn, next, &program->turns, node) {
 		if (!turn->decided && turn->waiting)
 			verdict(turn, TRN_UNAVAILABLE);
 	}
@@ -318,8 +315,8 @@
 		const struct rst_row *row =
 			&g_array_index(rows, struct rst_row, i);
 
-		if (strcmp(row->table, TURNS_TABLE) == 0 &&
-		    row->version > 0 && strcmp(row->key, turn->key) == 0)
+		if (strcmp(row->table, TURNS_TABLE) == 0 && row->version > 0 &&
+		    strcmp(row->key, turn->key) == 0)
 			return true;
 	}
 	return false;
@@ -375,8 +372,7 @@
 	struct trn_turn *turn;
 	struct trn_turn *next;
 
-	cds_list_for_each_entry_safe(turn, next, &program->turns, node)
-	{
+	cds_list_for_each_entry_safe(turn, next, &program->turns, node) {
 		if (!turn->writing)
 			continue;
 		turn->writing = false;
@@ -489,8 +485,7 @@
 	uint64_t cap = bgt->cap;
 
 	*urgent = bgt->spent + bgt->open > bgt->cap;
-	cds_list_for_each_entry(turn, &program->turns, node)
-	{
+	cds_list_for_each_entry(turn, &program->turns, node) {
 		uint64_t more = turn->waiting ? turn->most : 0;
 		uint64_t wanted;
 
@@ -522,8 +517,7 @@
 	if (!keeps && (!urgent || cap <= program->bgt.cap))
 		return;
 	tx = rst_tx_create(program->part);
-	cds_list_for_each_entry(turn, &program->turns, node)
-	{
+	cds_list_for_each_entry(turn, &program->turns, node) {
 		if (turn->text != NULL)
 			put_turn(tx, program, turn);
 	}
@@ -784,9 +778,8 @@
 		turn->load = LOAD_DONE;
 		return true;
 	}
-	if (turn->load == LOAD_OWNER &&
-	    (strcmp(missing, turn->missing) == 0 ||
-	     ++turn->rounds > ROUNDS_MOST)) {
+	if (turn->load == LOAD_OWNER && (strcmp(missing, turn->missing) == 0 ||
+					 ++turn->rounds > ROUNDS_MOST)) {
 		slog("history_broken", NULL, "\"turn\":%s",
 		     slog_quote(missing));
 		g_free(missing);
@@ -852,9 +845,8 @@
 	*slot = turn;
 	if (!rst_healthy(trn->store) &&
 	    (request->retain ||
-	     (turn->budget > 0 &&
-	      bgt_decide(&turn->program->bgt, turn->budget, turn->most) !=
-		      BGT_GO))) {
+	     (turn->budget > 0 && bgt_decide(&turn->program->bgt, turn->budget,
+					     turn->most) != BGT_GO))) {
 		verdict(turn, TRN_UNAVAILABLE);
 		return;
 	}
--- a/serve/upstream.c
+++ b/serve/upstream.c
@@ -352,8 +352,7 @@
 	return up->opened;
 }
 
-static struct conn *conn_create(struct up *up,
-				const struct up_request *request)
+static struct conn *conn_create(struct up *up, const struct up_request *request)
 {
 	struct conn *conn = g_new0(struct conn, 1);
 
@@ -361,9 +360,8 @@
 	conn->idle = request->idle;
 	conn->headers = hdr_create();
 	conn->expiry = evtimer_new(up->base, on_expiry, conn);
-	conn->bev = bufferevent_socket_new(up->base, -1,
-					   BEV_OPT_CLOSE_ON_FREE |
-						   BEV_OPT_DEFER_CALLBACKS);
+	conn->bev = bufferevent_socket_new(
+		up->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
 	bufferevent_setcb(conn->bev, on_read, NULL, on_event, conn);
 	return conn;
 }
--- a/serve/upstream.h
+++ b/serve/upstream.h
@@ -48,7 +48,7 @@
 	GBytes *body;	     /**< or NULL; a reference is taken */
 	const char *id_name; /**< field that an answer has to echo, or NULL */
 	const char *id;
-	int64_t connect_ms;  /**< time limit for a new connection */
+	int64_t connect_ms; /**< time limit for a new connection */
 };
 
 struct up *up_create(struct event_base *base);
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -11,7 +11,7 @@
 try() {
 	rm -rf "$tmp/tree"
 	mkdir "$tmp/tree"
-	cp -r Makefile charts decide platform proto test "$tmp/tree"
+	cp -r Makefile charts decide platform table proto test "$tmp/tree"
 	cp -r serve "$tmp/tree"
 	mkdir -p "$tmp/tree/apricotshift" "$tmp/tree/bench"
 	perl -0pi -e "$3" "$tmp/tree/$2"
--- a/test/run.sh
+++ b/test/run.sh
@@ -24,7 +24,7 @@
 cppcheck --quiet --error-exitcode=1 --std=c11 -I. \
 	--enable=warning,performance,portability --inline-suppr \
 	--suppress=missingIncludeSystem --suppress=unknownMacro \
-	decide serve platform apricotshift test bench
+	decide serve platform table apricotshift test bench
 for page in man/*; do mandoc -T lint -W warning "$page"; done
 
 step "unit tests, with sanitizers"
