--- a/decide/quota.c
+++ b/decide/quota.c
@@ -9,21 +9,32 @@
 #define EVEN_PART 0.05
 /* Part of the burst that new programs leave to those under way. */
 #define NEW_PROGRAM_PART 0.5
+/* What a lender keeps for its own callers, in seconds of their demand. */
+#define KEEP_S 0.1
 /* Demand below this is taken as none, in requests a second. */
 #define DEMAND_LEAST 0.05
 
 enum {
 	INSTANCES_UNKNOWN = 16, /* before the first list of instances */
 	WAIT_MOST_MS = 1000,
+	LENT_MS = 400, /* what was lent for a request that left is dropped */
 };
 
 struct bucket {
 	double tokens;
+	double lent; /* by other instances; it fades unless it is used */
+	int64_t lent_at;
 	double share;  /* the part of rate and burst that is ours */
 	int64_t at;    /* when tokens were last added */
 	double demand; /* requests a second */
 	int64_t demand_at;
-	GHashTable *others; /* instance -> double * of its demand */
+	GHashTable *others; /* instance -> struct word */
+};
+
+/* The last word of another instance on one account. */
+struct word {
+	double demand;
+	double tokens;
 };
 
 struct qta {
@@ -80,13 +91,14 @@
 }
 
 void qta_told(struct qta *qta, const char *instance, const char *account,
-	      double per_s)
+	      double per_s, double tokens)
 {
-	double *demand = g_new(double, 1);
+	struct word *word = g_new(struct word, 1);
 
-	*demand = isfinite(per_s) ? MAX(per_s, 0) : 0;
+	word->demand = isfinite(per_s) ? MAX(per_s, 0) : 0;
+	word->tokens = isfinite(tokens) ? tokens : 0;
 	g_hash_table_replace(bucket_of(qta, account)->others,
-			     g_strdup(instance), demand);
+			     g_strdup(instance), word);
 }
 
 static void drop_demands(struct qta *qta, const char *instance)
@@ -133,14 +145,14 @@
 	double all = bucket->demand;
 	guint known = 1 + g_hash_table_size(qta->heard);
 	GHashTableIter it;
-	gpointer demand;
+	gpointer word;
 
 	/* One that was never heard of may be asked for as much as we are. */
 	if (known < qta->instances)
 		all += bucket->demand * (qta->instances - known);
 	g_hash_table_iter_init(&it, bucket->others);
-	while (g_hash_table_iter_next(&it, NULL, &demand))
-		all += *(double *)demand;
+	while (g_hash_table_iter_next(&it, NULL, &word))
+		all += ((struct word *)word)->demand;
 	if (all < DEMAND_LEAST)
 		return even;
 	return EVEN_PART * even + (1 - EVEN_PART) * bucket->demand / all;
@@ -161,24 +173,37 @@
 		limit->rate * share * (double)(now - bucket->at) / 1000.0;
 	bucket->tokens = MIN(bucket->tokens, most);
 	bucket->at = now;
+	if (now - bucket->lent_at > LENT_MS)
+		bucket->lent = 0;
+}
+
+void qta_asked(struct qta *qta, const char *account, int64_t now)
+{
+	struct bucket *bucket = bucket_of(qta, account);
+
+	fade(bucket, now);
+	bucket->demand += 1000.0 / DEMAND_FADE_MS;
 }
 
 bool qta_take(struct qta *qta, const char *account,
 	      const struct qta_limit *limit, bool begins, int64_t now,
-	      int64_t patience_ms, int64_t *wait_ms)
+	      int64_t *wait_ms)
 {
 	struct bucket *bucket = bucket_of(qta, account);
 	double least = 1.0;
 	double missing_ms;
 
 	fade(bucket, now);
-	bucket->demand += 1000.0 / DEMAND_FADE_MS;
 	*wait_ms = 0;
 	if (limit->rate <= 0)
 		return true;
 	refill(qta, bucket, limit, now);
 	if (begins)
 		least += NEW_PROGRAM_PART * limit->burst * bucket->share;
+	if (bucket->lent >= 1.0) {
+		bucket->lent -= 1.0;
+		return true;
+	}
 	if (bucket->tokens >= least) {
 		bucket->tokens -= 1.0;
 		return true;
@@ -186,10 +211,70 @@
 	missing_ms = (least - bucket->tokens) * 1000.0 /
 		     (limit->rate * bucket->share);
 	*wait_ms = (int64_t)MIN(missing_ms, (double)WAIT_MOST_MS) + 1;
-	if (*wait_ms > patience_ms)
-		return false;
-	bucket->tokens -= 1.0;
-	return true;
+	return false;
+}
+
+double qta_interval_ms(struct qta *qta, const char *account,
+		       const struct qta_limit *limit)
+{
+	const struct bucket *bucket = bucket_of(qta, account);
+
+	return bucket->share > 0 && limit->rate > 0
+		       ? 1000.0 / (limit->rate * bucket->share)
+		       : (double)WAIT_MOST_MS;
+}
+
+const char *qta_lender(struct qta *qta, const char *account,
+		       const GPtrArray *asked)
+{
+	struct bucket *bucket = bucket_of(qta, account);
+	const char *best = NULL;
+	struct word *most = NULL;
+	GHashTableIter it;
+	gpointer instance;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, bucket->others);
+	while (g_hash_table_iter_next(&it, &instance, &p)) {
+		struct word *word = p;
+
+		if (word->tokens < 1.0 ||
+		    (most != NULL && word->tokens <= most->tokens) ||
+		    g_ptr_array_find_with_equal_func(
+			    (GPtrArray *)asked, instance, g_str_equal, NULL))
+			continue;
+		best = instance;
+		most = word;
+	}
+	if (most != NULL)
+		most->tokens -= 1.0;
+	return best;
+}
+
+uint32_t qta_lend(struct qta *qta, const char *account,
+		  const struct qta_limit *limit, uint32_t wanted, int64_t now)
+{
+	struct bucket *bucket = bucket_of(qta, account);
+	double spare;
+	uint32_t granted;
+
+	if (limit->rate <= 0)
+		return 0;
+	fade(bucket, now);
+	refill(qta, bucket, limit, now);
+	spare = bucket->tokens - bucket->demand * KEEP_S;
+	granted = spare >= 1.0 ? (uint32_t)MIN(spare, (double)wanted) : 0;
+	bucket->tokens -= granted;
+	return granted;
+}
+
+void qta_borrowed(struct qta *qta, const char *account, uint32_t count,
+		  int64_t now)
+{
+	struct bucket *bucket = bucket_of(qta, account);
+
+	bucket->lent += count;
+	bucket->lent_at = now;
 }
 
 void qta_give_back(struct qta *qta, const char *account)
@@ -197,9 +282,7 @@
 	bucket_of(qta, account)->tokens += 1.0;
 }
 
-void qta_foreach(struct qta *qta, int64_t now,
-		 void (*fn)(const char *account, double per_s, void *arg),
-		 void *arg)
+void qta_foreach(struct qta *qta, int64_t now, qta_word *fn, void *arg)
 {
 	GHashTableIter it;
 	gpointer account;
@@ -210,6 +293,7 @@
 		struct bucket *bucket = p;
 
 		fade(bucket, now);
-		fn(account, bucket->demand, arg);
+		fn(account, bucket->demand,
+		   bucket->tokens - bucket->demand * KEEP_S, arg);
 	}
 }
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -9,8 +9,10 @@
  * burst. Shares follow demand: an instance knows what each other one is asked
  * for by its last word, and takes that part of the whole which it is asked
  * for itself. The shares of all instances sum to one as long as their views
- * agree; one that hears nothing keeps the last word of the others, so its
- * share can grow only by what it was asked for itself.
+ * agree. Where a bucket is empty, another instance lends out of its own: the
+ * tokens leave there before they arrive here, so a lost message costs tokens
+ * and never makes any. An instance that hears nothing keeps the last word of
+ * the others, so its share can grow only by what it was asked for itself.
  */
 #ifndef APS_QUOTA_H
 #define APS_QUOTA_H
@@ -29,14 +31,18 @@
 
 /** A word of another instance begins: what it said before is over. */
 void qta_heard(struct qta *qta, const char *instance);
-/** Another instance is asked for @p per_s requests a second by @p account. */
+/** Another instance is asked for @p per_s requests a second by @p account, and
+ * could send @p tokens at once. */
 void qta_told(struct qta *qta, const char *instance, const char *account,
-	      double per_s);
+	      double per_s, double tokens);
 /** Forgets an instance that is known to send nothing any more. */
 void qta_forget(struct qta *qta, const char *instance);
 /** Says how many instances there are, this one included. */
 void qta_instances(struct qta *qta, uint32_t count);
 
+/** A caller asks for one request of @p account: this is its demand. */
+void qta_asked(struct qta *qta, const char *account, int64_t now);
+
 /** The limit of an account. */
 struct qta_limit {
 	double rate;  /**< requests a second; 0: none */
@@ -47,27 +53,39 @@
 /**
  * Takes one request of @p account.
  *
- * A request that comes a little too early is let in a little later: it takes
- * the place of a later one, so the limit holds. Where an account asks for more
+ * Where an account asks for more
  * than its limit, what is left goes to programs under way: a new program is
  * let in only while half of the burst is left, since one that is cut short
  * later has used its quota for nothing.
  *
  * @param begins      it is the first request of a program
- * @param patience_ms how long the request may wait here
- * @param wait_ms     receives how long to wait before it is sent, or, if it
- *                    was refused, before it is worth coming back
+ * @param wait_ms     receives when there will be a token, if there is none
  * @return whether it may be sent
  */
 bool qta_take(struct qta *qta, const char *account,
 	      const struct qta_limit *limit, bool begins, int64_t now,
-	      int64_t patience_ms, int64_t *wait_ms);
+	      int64_t *wait_ms);
+/** The time between two tokens of ours, in ms. */
+double qta_interval_ms(struct qta *qta, const char *account,
+		       const struct qta_limit *limit);
+/** The instance that has most to lend for @p account, or NULL; what it has
+ * counts as lent until its next word. @p asked are left out. */
+const char *qta_lender(struct qta *qta, const char *account,
+		       const GPtrArray *asked);
+/** Takes up to @p wanted requests out of the bucket for another instance. */
+uint32_t qta_lend(struct qta *qta, const char *account,
+		  const struct qta_limit *limit, uint32_t wanted, int64_t now);
+/** Puts requests in that another instance has lent. */
+void qta_borrowed(struct qta *qta, const char *account, uint32_t count,
+		  int64_t now);
 /** Gives back one request that was taken and has not run. */
 void qta_give_back(struct qta *qta, const char *account);
 
-/** Calls @p fn for each account with what this instance is asked for. */
-void qta_foreach(struct qta *qta, int64_t now,
-		 void (*fn)(const char *account, double per_s, void *arg),
-		 void *arg);
+/** Takes the word on one account: what this instance is asked for, and what
+ * it could send at once. */
+typedef void qta_word(const char *account, double per_s, double tokens,
+		      void *arg);
+/** Calls @p fn for each account. */
+void qta_foreach(struct qta *qta, int64_t now, qta_word *fn, void *arg);
 
 #endif
--- a/proto/rows.pb-c.c
+++ b/proto/rows.pb-c.c
@@ -322,6 +322,141 @@
   assert(message->base.descriptor == &rows__gossip__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rows__borrow__init
+                     (Rows__Borrow         *message)
+{
+  static const Rows__Borrow init_value = ROWS__BORROW__INIT;
+  *message = init_value;
+}
+size_t rows__borrow__get_packed_size
+                     (const Rows__Borrow *message)
+{
+  assert(message->base.descriptor == &rows__borrow__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rows__borrow__pack
+                     (const Rows__Borrow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rows__borrow__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rows__borrow__pack_to_buffer
+                     (const Rows__Borrow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rows__borrow__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rows__Borrow *
+       rows__borrow__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rows__Borrow *)
+     protobuf_c_message_unpack (&rows__borrow__descriptor,
+                                allocator, len, data);
+}
+void   rows__borrow__free_unpacked
+                     (Rows__Borrow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rows__borrow__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rows__lend__init
+                     (Rows__Lend         *message)
+{
+  static const Rows__Lend init_value = ROWS__LEND__INIT;
+  *message = init_value;
+}
+size_t rows__lend__get_packed_size
+                     (const Rows__Lend *message)
+{
+  assert(message->base.descriptor == &rows__lend__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rows__lend__pack
+                     (const Rows__Lend *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rows__lend__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rows__lend__pack_to_buffer
+                     (const Rows__Lend *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rows__lend__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rows__Lend *
+       rows__lend__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rows__Lend *)
+     protobuf_c_message_unpack (&rows__lend__descriptor,
+                                allocator, len, data);
+}
+void   rows__lend__free_unpacked
+                     (Rows__Lend *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rows__lend__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rows__datagram__init
+                     (Rows__Datagram         *message)
+{
+  static const Rows__Datagram init_value = ROWS__DATAGRAM__INIT;
+  *message = init_value;
+}
+size_t rows__datagram__get_packed_size
+                     (const Rows__Datagram *message)
+{
+  assert(message->base.descriptor == &rows__datagram__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rows__datagram__pack
+                     (const Rows__Datagram *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rows__datagram__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rows__datagram__pack_to_buffer
+                     (const Rows__Datagram *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rows__datagram__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rows__Datagram *
+       rows__datagram__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rows__Datagram *)
+     protobuf_c_message_unpack (&rows__datagram__descriptor,
+                                allocator, len, data);
+}
+void   rows__datagram__free_unpacked
+                     (Rows__Datagram *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rows__datagram__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor rows__cap__field_descriptors[2] =
 {
   {
@@ -552,7 +687,7 @@
   (ProtobufCMessageInit) rows__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rows__demand__field_descriptors[2] =
+static const ProtobufCFieldDescriptor rows__demand__field_descriptors[3] =
 {
   {
     "account",
@@ -578,15 +713,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tokens",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(Rows__Demand, has_tokens),
+    offsetof(Rows__Demand, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rows__demand__field_indices_by_name[] = {
   0,   /* field[0] = account */
   1,   /* field[1] = per_s */
+  2,   /* field[2] = tokens */
 };
 static const ProtobufCIntRange rows__demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor rows__demand__descriptor =
 {
@@ -596,7 +744,7 @@
   "Rows__Demand",
   "rows",
   sizeof(Rows__Demand),
-  2,
+  3,
   rows__demand__field_descriptors,
   rows__demand__field_indices_by_name,
   1,  rows__demand__number_ranges,
@@ -757,3 +905,208 @@
   (ProtobufCMessageInit) rows__gossip__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rows__borrow__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Borrow, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "account",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Borrow, account),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Borrow, wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "serial",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Borrow, serial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rows__borrow__field_indices_by_name[] = {
+  1,   /* field[1] = account */
+  0,   /* field[0] = id */
+  3,   /* field[3] = serial */
+  2,   /* field[2] = wanted */
+};
+static const ProtobufCIntRange rows__borrow__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rows__borrow__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rows.Borrow",
+  "Borrow",
+  "Rows__Borrow",
+  "rows",
+  sizeof(Rows__Borrow),
+  4,
+  rows__borrow__field_descriptors,
+  rows__borrow__field_indices_by_name,
+  1,  rows__borrow__number_ranges,
+  (ProtobufCMessageInit) rows__borrow__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rows__lend__field_descriptors[3] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Lend, account),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Lend, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "serial",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Lend, serial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rows__lend__field_indices_by_name[] = {
+  0,   /* field[0] = account */
+  1,   /* field[1] = granted */
+  2,   /* field[2] = serial */
+};
+static const ProtobufCIntRange rows__lend__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rows__lend__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rows.Lend",
+  "Lend",
+  "Rows__Lend",
+  "rows",
+  sizeof(Rows__Lend),
+  3,
+  rows__lend__field_descriptors,
+  rows__lend__field_indices_by_name,
+  1,  rows__lend__number_ranges,
+  (ProtobufCMessageInit) rows__lend__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rows__datagram__field_descriptors[3] =
+{
+  {
+    "gossip",
+    1,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Datagram, gossip),
+    &rows__gossip__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "borrow",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Datagram, borrow),
+    &rows__borrow__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lend",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Datagram, lend),
+    &rows__lend__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rows__datagram__field_indices_by_name[] = {
+  1,   /* field[1] = borrow */
+  0,   /* field[0] = gossip */
+  2,   /* field[2] = lend */
+};
+static const ProtobufCIntRange rows__datagram__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rows__datagram__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rows.Datagram",
+  "Datagram",
+  "Rows__Datagram",
+  "rows",
+  sizeof(Rows__Datagram),
+  3,
+  rows__datagram__field_descriptors,
+  rows__datagram__field_indices_by_name,
+  1,  rows__datagram__number_ranges,
+  (ProtobufCMessageInit) rows__datagram__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/proto/rows.pb-c.h
+++ b/proto/rows.pb-c.h
@@ -22,6 +22,9 @@
 typedef struct Rows__Demand Rows__Demand;
 typedef struct Rows__Mark Rows__Mark;
 typedef struct Rows__Gossip Rows__Gossip;
+typedef struct Rows__Borrow Rows__Borrow;
+typedef struct Rows__Lend Rows__Lend;
+typedef struct Rows__Datagram Rows__Datagram;
 
 
 /* --- enums --- */
@@ -109,10 +112,15 @@
   ProtobufCMessage base;
   char *account;
   float per_s;
+  /*
+   * requests that could be sent there at once
+   */
+  protobuf_c_boolean has_tokens;
+  float tokens;
 };
 #define ROWS__DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rows__demand__descriptor) \
-    , NULL, 0 }
+    , NULL, 0, 0, 0 }
 
 
 /*
@@ -149,6 +157,52 @@
     , NULL, NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
+/*
+ * Asks another instance for requests of an account's quota.
+ */
+struct  Rows__Borrow
+{
+  ProtobufCMessage base;
+  /*
+   * who asks
+   */
+  char *id;
+  char *account;
+  uint32_t wanted;
+  uint32_t serial;
+};
+#define ROWS__BORROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rows__borrow__descriptor) \
+    , NULL, NULL, 0, 0 }
+
+
+/*
+ * What it gives: it is gone from there when this is sent.
+ */
+struct  Rows__Lend
+{
+  ProtobufCMessage base;
+  char *account;
+  uint32_t granted;
+  uint32_t serial;
+};
+#define ROWS__LEND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rows__lend__descriptor) \
+    , NULL, 0, 0 }
+
+
+struct  Rows__Datagram
+{
+  ProtobufCMessage base;
+  Rows__Gossip *gossip;
+  Rows__Borrow *borrow;
+  Rows__Lend *lend;
+};
+#define ROWS__DATAGRAM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rows__datagram__descriptor) \
+    , NULL, NULL, NULL }
+
+
 /* Rows__Cap methods */
 void   rows__cap__init
                      (Rows__Cap         *message);
@@ -282,6 +336,63 @@
 void   rows__gossip__free_unpacked
                      (Rows__Gossip *message,
                       ProtobufCAllocator *allocator);
+/* Rows__Borrow methods */
+void   rows__borrow__init
+                     (Rows__Borrow         *message);
+size_t rows__borrow__get_packed_size
+                     (const Rows__Borrow   *message);
+size_t rows__borrow__pack
+                     (const Rows__Borrow   *message,
+                      uint8_t             *out);
+size_t rows__borrow__pack_to_buffer
+                     (const Rows__Borrow   *message,
+                      ProtobufCBuffer     *buffer);
+Rows__Borrow *
+       rows__borrow__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rows__borrow__free_unpacked
+                     (Rows__Borrow *message,
+                      ProtobufCAllocator *allocator);
+/* Rows__Lend methods */
+void   rows__lend__init
+                     (Rows__Lend         *message);
+size_t rows__lend__get_packed_size
+                     (const Rows__Lend   *message);
+size_t rows__lend__pack
+                     (const Rows__Lend   *message,
+                      uint8_t             *out);
+size_t rows__lend__pack_to_buffer
+                     (const Rows__Lend   *message,
+                      ProtobufCBuffer     *buffer);
+Rows__Lend *
+       rows__lend__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rows__lend__free_unpacked
+                     (Rows__Lend *message,
+                      ProtobufCAllocator *allocator);
+/* Rows__Datagram methods */
+void   rows__datagram__init
+                     (Rows__Datagram         *message);
+size_t rows__datagram__get_packed_size
+                     (const Rows__Datagram   *message);
+size_t rows__datagram__pack
+                     (const Rows__Datagram   *message,
+                      uint8_t             *out);
+size_t rows__datagram__pack_to_buffer
+                     (const Rows__Datagram   *message,
+                      ProtobufCBuffer     *buffer);
+Rows__Datagram *
+       rows__datagram__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rows__datagram__free_unpacked
+                     (Rows__Datagram *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Rows__Cap_Closure)
@@ -305,6 +416,15 @@
 typedef void (*Rows__Gossip_Closure)
                  (const Rows__Gossip *message,
                   void *closure_data);
+typedef void (*Rows__Borrow_Closure)
+                 (const Rows__Borrow *message,
+                  void *closure_data);
+typedef void (*Rows__Lend_Closure)
+                 (const Rows__Lend *message,
+                  void *closure_data);
+typedef void (*Rows__Datagram_Closure)
+                 (const Rows__Datagram *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -318,6 +438,9 @@
 extern const ProtobufCMessageDescriptor rows__demand__descriptor;
 extern const ProtobufCMessageDescriptor rows__mark__descriptor;
 extern const ProtobufCMessageDescriptor rows__gossip__descriptor;
+extern const ProtobufCMessageDescriptor rows__borrow__descriptor;
+extern const ProtobufCMessageDescriptor rows__lend__descriptor;
+extern const ProtobufCMessageDescriptor rows__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- /dev/null
+++ b/serve/admission.c
@@ -0,0 +1,265 @@
+/** @file admission.c @brief Lets requests in by the quota of their account. */
+#include <string.h>
+
+#include <urcu/list.h>
+
+#include "admission.h"
+#include "clock.h"
+
+enum {
+	LEND_MS = 12,	  /* a question and its answer take 1 to 5 ms */
+	LENDERS_MOST = 3, /* asked for one shortage */
+	WANTED_SPARE = 1, /* asked for beyond what waits */
+};
+
+struct queue {
+	struct adm *adm;
+	char *account;
+	struct cds_list_head waits;
+	guint waiting;
+	struct event *timer;
+	GPtrArray *asked; /* instances asked for this shortage */
+	uint32_t serial;  /* of the question under way */
+	int64_t asked_at; /* 0: none is */
+};
+
+struct adm {
+	struct event_base *base;
+	struct qta *quota;
+	struct mbr *members;
+	GHashTable *queues; /* account -> struct queue */
+	uint32_t serial;
+};
+
+struct adm_wait {
+	struct cds_list_head node;
+	struct queue *queue;
+	struct qta_limit limit;
+	bool begins;
+	int64_t expires_at;
+	adm_decided *decided;
+	void *arg;
+};
+
+static void serve(struct queue *queue);
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	serve(arg);
+}
+
+static void queue_free(gpointer p)
+{
+	struct queue *queue = p;
+
+	event_free(queue->timer);
+	g_ptr_array_free(queue->asked, TRUE);
+	g_free(queue->account);
+	g_free(queue);
+}
+
+struct adm *adm_create(struct event_base *base, struct qta *quota)
+{
+	struct adm *adm = g_new0(struct adm, 1);
+
+	adm->base = base;
+	adm->quota = quota;
+	adm->queues = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					    queue_free);
+	return adm;
+}
+
+void adm_destroy(struct adm *adm)
+{
+	if (adm == NULL)
+		return;
+	g_hash_table_destroy(adm->queues);
+	g_free(adm);
+}
+
+void adm_set_members(struct adm *adm, struct mbr *members)
+{
+	adm->members = members;
+}
+
+static struct queue *queue_of(struct adm *adm, const char *account)
+{
+	struct queue *queue = g_hash_table_lookup(adm->queues, account);
+
+	if (queue != NULL)
+		return queue;
+	queue = g_new0(struct queue, 1);
+	queue->adm = adm;
+	queue->account = g_strdup(account);
+	queue->asked = g_ptr_array_new_with_free_func(g_free);
+	queue->timer = evtimer_new(adm->base, on_timer, queue);
+	CDS_INIT_LIST_HEAD(&queue->waits);
+	g_hash_table_insert(adm->queues, queue->account, queue);
+	return queue;
+}
+
+static void decide(struct adm_wait *wait, bool admitted, int64_t wait_ms)
+{
+	adm_decided *decided = wait->decided;
+	void *arg = wait->arg;
+
+	cds_list_del(&wait->node);
+	wait->queue->waiting--;
+	g_free(wait);
+	decided(arg, admitted, wait_ms);
+}
+
+/* The first wait of one kind, or NULL. */
+static struct adm_wait *first_wait(struct queue *queue, bool begins)
+{
+	struct adm_wait *wait;
+
+	cds_list_for_each_entry(wait, &queue->waits, node) {
+		if (wait->begins == begins)
+			return wait;
+	}
+	return NULL;
+}
+
+/* Lets in whom it can, in order; @p next_ms receives when to look again. */
+static void admit(struct queue *queue, bool begins, int64_t now,
+		  int64_t *next_ms)
+{
+	struct adm_wait *wait;
+
+	while ((wait = first_wait(queue, begins)) != NULL) {
+		int64_t wait_ms;
+
+		if (qta_take(queue->adm->quota, queue->account, &wait->limit,
+			     wait->begins, now, &wait_ms)) {
+			decide(wait, true, 0);
+			continue;
+		}
+		if (now >= wait->expires_at) {
+			decide(wait, false, wait_ms);
+			continue;
+		}
+		*next_ms = MIN(*next_ms, MIN(wait_ms, wait->expires_at - now));
+		return;
+	}
+}
+
+static void ask_lender(struct queue *queue, int64_t now)
+{
+	struct adm *adm = queue->adm;
+	const char *lender;
+
+	if (queue->asked_at != 0 && now - queue->asked_at < LEND_MS)
+		return;
+	queue->asked_at = 0;
+	if (queue->asked->len >= LENDERS_MOST)
+		return;
+	lender = qta_lender(adm->quota, queue->account, queue->asked);
+	if (lender == NULL)
+		return;
+	queue->serial = ++adm->serial;
+	queue->asked_at = now;
+	g_ptr_array_add(queue->asked, g_strdup(lender));
+	mbr_borrow(adm->members, lender, queue->account,
+		   queue->waiting + WANTED_SPARE, queue->serial);
+}
+
+/* Nobody lends: who can't be let in before its time is refused at once. */
+static void refuse_hopeless(struct queue *queue, int64_t now)
+{
+	struct adm_wait *wait;
+	struct adm_wait *next;
+	double at = 0;
+
+	cds_list_for_each_entry_safe(wait, next, &queue->waits, node) {
+		double interval = qta_interval_ms(queue->adm->quota,
+						  queue->account, &wait->limit);
+
+		if (wait->begins)
+			continue;
+		at += interval;
+		if (at > (double)(wait->expires_at - now) + interval) {
+			at -= interval;
+			decide(wait, false, (int64_t)at + 1);
+		}
+	}
+}
+
+static void serve(struct queue *queue)
+{
+	int64_t now = clock_boot_ms();
+	int64_t next_ms = G_MAXINT64;
+	struct timeval tv;
+
+	admit(queue, false, now, &next_ms);
+	admit(queue, true, now, &next_ms);
+	if (cds_list_empty(&queue->waits)) {
+		g_ptr_array_set_size(queue->asked, 0);
+		event_del(queue->timer);
+		return;
+	}
+	ask_lender(queue, now);
+	if (queue->asked_at == 0)
+		refuse_hopeless(queue, now);
+	else
+		next_ms = MIN(next_ms, LEND_MS);
+	next_ms = MAX(next_ms, 1);
+	tv.tv_sec = next_ms / 1000;
+	tv.tv_usec = (next_ms % 1000) * 1000;
+	event_add(queue->timer, &tv);
+}
+
+struct adm_wait *adm_ask(struct adm *adm, const char *account,
+			 const struct qta_limit *limit, bool begins,
+			 int64_t patience_ms, adm_decided *decided, void *arg)
+{
+	struct queue *queue = queue_of(adm, account);
+	struct adm_wait *wait;
+	int64_t now = clock_boot_ms();
+	int64_t wait_ms = 0;
+
+	qta_asked(adm->quota, account, now);
+	if ((cds_list_empty(&queue->waits) ||
+	     (!begins && first_wait(queue, false) == NULL)) &&
+	    qta_take(adm->quota, account, limit, begins, now, &wait_ms)) {
+		decided(arg, true, 0);
+		return NULL;
+	}
+	wait = g_new0(struct adm_wait, 1);
+	wait->queue = queue;
+	wait->limit = *limit;
+	wait->begins = begins;
+	wait->expires_at = now + patience_ms;
+	wait->decided = decided;
+	wait->arg = arg;
+	cds_list_add_tail(&wait->node, &queue->waits);
+	queue->waiting++;
+	serve(queue);
+	return wait;
+}
+
+void adm_cancel(struct adm_wait *wait)
+{
+	cds_list_del(&wait->node);
+	wait->queue->waiting--;
+	g_free(wait);
+}
+
+void adm_lent(struct adm *adm, const char *account, uint32_t granted,
+	      uint32_t serial)
+{
+	struct queue *queue = g_hash_table_lookup(adm->queues, account);
+
+	if (queue == NULL)
+		return;
+	if (granted > 0)
+		qta_borrowed(adm->quota, account, granted, clock_boot_ms());
+	if (queue->serial != serial)
+		return;
+	queue->asked_at = 0;
+	if (granted > 0)
+		g_ptr_array_set_size(queue->asked, 0);
+	serve(queue);
+}
--- /dev/null
+++ b/serve/admission.h
@@ -0,0 +1,46 @@
+/**
+ * @file admission.h
+ * @brief Lets requests in by the quota of their account.
+ *
+ * A request for which there is no token here waits a moment: for the next
+ * token, or for one that another instance lends. Waiting requests of an
+ * account go in order, those of programs under way before those that begin
+ * one.
+ */
+#ifndef APS_ADMISSION_H
+#define APS_ADMISSION_H
+
+#include <event2/event.h>
+
+#include "decide/quota.h"
+#include "members.h"
+
+struct adm;
+/** A request that waits. */
+struct adm_wait;
+
+/** Told once: the request may be sent, or is refused for @p wait_ms. */
+typedef void adm_decided(void *arg, bool admitted, int64_t wait_ms);
+
+struct adm *adm_create(struct event_base *base, struct qta *quota);
+void adm_destroy(struct adm *adm);
+/** Sets whom to borrow from. */
+void adm_set_members(struct adm *adm, struct mbr *members);
+
+/**
+ * Asks for a request of @p account.
+ *
+ * @param begins the request begins a program
+ * @return NULL if @p decided was called already; otherwise the wait, which
+ *         ends with that call or with adm_cancel()
+ */
+struct adm_wait *adm_ask(struct adm *adm, const char *account,
+			 const struct qta_limit *limit, bool begins,
+			 int64_t patience_ms, adm_decided *decided, void *arg);
+/** The request has left. */
+void adm_cancel(struct adm_wait *wait);
+/** Another instance has lent @p granted requests, or none. */
+void adm_lent(struct adm *adm, const char *account, uint32_t granted,
+	      uint32_t serial);
+
+#endif
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -22,8 +22,8 @@
 	STORE_BACK_MS = 900, /* the store is mostly back after seconds */
 	ELSEWHERE_MS = 50,   /* another instance may serve it at once */
 	EVEN_PRIORITY = 9,
-	QUOTA_PATIENCE_MS = 250, /* a refusal may end a program under way */
-	NEW_PATIENCE_MS = 60,	 /* a refusal loses nothing but its way */
+	QUOTA_PATIENCE_MS = 120, /* a refusal may end a program under way */
+	NEW_PATIENCE_MS = 40,	 /* a refusal loses nothing but its way */
 };
 
 struct xch {
@@ -36,7 +36,7 @@
 	const struct cat_service *service;
 	int64_t began;
 	int64_t deadline_at;
-	int64_t early_ms; /* by how much it came before its quota */
+	struct adm_wait *admission; /* it waits for its quota */
 	uint64_t fingerprint;
 	GBytes *body; /* as it goes to the server */
 
@@ -68,6 +68,7 @@
 };
 
 static void place(struct xch *x);
+static void proceed(struct xch *x);
 static void begin_turn(struct xch *x);
 
 static const char *account_name(const struct xch *x)
@@ -90,6 +91,8 @@
 static void xch_free(struct xch *x)
 {
 	drop_upstream(x);
+	if (x->admission != NULL)
+		adm_cancel(x->admission);
 	if (x->turn != NULL)
 		trn_end(x->turn, x->used);
 	if (x->deadline != NULL)
@@ -579,7 +582,6 @@
 /* Goes on with a request that was let in. */
 static void proceed(struct xch *x)
 {
-	x->early_ms = 0;
 	if (x->route->kind == CAT_STREAM &&
 	    (x->call.budget > 0 || x->route->retain)) {
 		begin_turn(x);
@@ -595,10 +597,6 @@
 
 	(void)fd;
 	(void)what;
-	if (x->early_ms > 0) {
-		proceed(x);
-		return;
-	}
 	if (x->up == NULL) {
 		place(x);
 		return;
@@ -688,22 +686,31 @@
 	       !g_hash_table_contains(x->shared->sessions, x->call.program);
 }
 
-static bool take_quota(struct xch *x)
+static void on_admitted(void *arg, bool admitted, int64_t wait_ms)
+{
+	struct xch *x = arg;
+
+	x->admission = NULL;
+	if (admitted) {
+		proceed(x);
+		return;
+	}
+	sts_count(STS_REFUSED_QUOTA);
+	reply_own(x, 429, "over quota", wait_ms);
+}
+
+static void ask_quota(struct xch *x)
 {
 	struct qta_limit limit = {x->account->rate, x->account->burst,
 				  x->shared->quota_slack};
 	bool begins = begins_program(x);
 	int64_t patience = begins ? NEW_PATIENCE_MS : QUOTA_PATIENCE_MS;
-	int64_t wait_ms;
+	struct adm_wait *wait;
 
-	if (!qta_take(x->shared->quota, x->account->name, &limit, begins,
-		      x->began, patience, &wait_ms)) {
-		sts_count(STS_REFUSED_QUOTA);
-		reply_own(x, 429, "over quota", wait_ms);
-		return false;
-	}
-	x->early_ms = wait_ms;
-	return true;
+	wait = adm_ask(x->shared->admission, x->account->name, &limit, begins,
+		       patience, on_admitted, x);
+	if (wait != NULL)
+		x->admission = wait;
 }
 
 /* Checks who is calling and what for; returns false if it was answered. */
@@ -742,7 +749,7 @@
 		reply_own(x, 401, "unknown key", 0);
 		return false;
 	}
-	return take_quota(x);
+	return true;
 }
 
 static bool choose_service(struct xch *x)
@@ -752,7 +759,8 @@
 
 	x->service = cat_choose(x->cat, x->route, g_str_hash(name) >> 3);
 	if (x->service == NULL) {
-		refuse(x, STS_REFUSED_FULL, 503, "no service", 0);
+		sts_count(STS_REFUSED_FULL);
+		reply_own(x, 503, "no service", 0);
 		return false;
 	}
 	x->fingerprint =
@@ -761,7 +769,8 @@
 	if (x->request->body->len > 0 &&
 	    sus_refused(x->shared->suspects, x->fingerprint, x->began,
 			&wait_ms)) {
-		refuse(x, STS_REFUSED_MARKED, 503, "breaks servers", wait_ms);
+		sts_count(STS_REFUSED_MARKED);
+		reply_own(x, 503, "breaks servers", wait_ms);
 		return false;
 	}
 	return true;
@@ -810,8 +819,8 @@
 		x->route->kind == CAT_IDEMPOTENT ||
 		(x->route->kind == CAT_STREAM && x->route->resumable);
 	set_deadlines(x);
-	if (x->early_ms > 0)
-		set_timer(x->pause, x->early_ms);
+	if (x->account != NULL)
+		ask_quota(x);
 	else
 		proceed(x);
 }
--- a/serve/exchange.h
+++ b/serve/exchange.h
@@ -7,6 +7,7 @@
 
 #include <event2/event.h>
 
+#include "admission.h"
 #include "beliefs.h"
 #include "decide/fleet.h"
 #include "decide/quota.h"
@@ -24,6 +25,7 @@
 	struct blf *beliefs;
 	struct flt *fleet;
 	struct qta *quota;
+	struct adm *admission;
 	struct sus *suspects;
 	struct mbr *members;
 	struct trn *programs;
--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -162,6 +162,30 @@
 	return blf_age_ms(gw->shared.beliefs);
 }
 
+static bool account_limit(void *arg, const char *account,
+			  struct qta_limit *limit)
+{
+	struct gw *gw = arg;
+	const struct cat *cat = blf_catalog(gw->shared.beliefs);
+	const struct cat_account *found =
+		cat ? cat_find_account(cat, account) : NULL;
+
+	if (found == NULL)
+		return false;
+	limit->rate = found->rate;
+	limit->burst = found->burst;
+	limit->slack = gw->shared.quota_slack;
+	return true;
+}
+
+static void on_lent(void *arg, const char *account, uint32_t granted,
+		    uint32_t serial)
+{
+	struct gw *gw = arg;
+
+	adm_lent(gw->shared.admission, account, granted, serial);
+}
+
 static void on_marked(void *arg, uint64_t fingerprint, const char *server)
 {
 	struct gw *gw = arg;
@@ -282,6 +306,8 @@
 		.zone = settings->zone,
 		.address = settings->peers,
 		.config_age = config_age,
+		.limit = account_limit,
+		.lent = on_lent,
 		.marked = on_marked,
 		.arg = gw,
 	};
@@ -296,6 +322,7 @@
 	shared->store = rst_create(gw->base, shared->up, settings->store);
 	shared->fleet = flt_create(drop_idle);
 	shared->quota = qta_create(clock_boot_ms());
+	shared->admission = adm_create(gw->base, shared->quota);
 	shared->suspects = sus_create();
 	shared->programs =
 		trn_create(gw->base, shared->store, members.incarnation,
@@ -307,6 +334,7 @@
 	members.store = shared->store;
 	members.quota = shared->quota;
 	shared->members = mbr_create(&members);
+	adm_set_members(shared->admission, shared->members);
 	if (shared->members == NULL)
 		fprintf(stderr, "apricotshift: datagrams on %s: %s\n",
 			settings->peers, strerror(errno));
@@ -351,6 +379,7 @@
 	blf_destroy(shared->beliefs);
 	trn_destroy(shared->programs);
 	flt_destroy(shared->fleet);
+	adm_destroy(shared->admission);
 	qta_destroy(shared->quota);
 	sus_destroy(shared->suspects);
 	rst_destroy(shared->store);
--- a/serve/members.c
+++ b/serve/members.c
@@ -127,7 +127,8 @@
 		qta_instances(mbr->config.quota, count);
 }
 
-static void add_demand(const char *account, double per_s, void *arg)
+static void add_demand(const char *account, double per_s, double tokens,
+		       void *arg)
 {
 	GPtrArray *list = arg;
 	Rows__Demand *demand;
@@ -138,6 +139,8 @@
 	rows__demand__init(demand);
 	demand->account = (char *)account;
 	demand->per_s = (float)per_s;
+	demand->has_tokens = tokens >= 1.0;
+	demand->tokens = (float)tokens;
 	g_ptr_array_add(list, demand);
 }
 
@@ -179,6 +182,7 @@
 	Rows__Member self = ROWS__MEMBER__INIT;
 	GPtrArray *demands = g_ptr_array_new_with_free_func(g_free);
 	GPtrArray *marks = marks_to_tell(mbr);
+	Rows__Datagram datagram = ROWS__DATAGRAM__INIT;
 	uint8_t *packed;
 
 	qta_foreach(mbr->config.quota, clock_boot_ms(), add_demand, demands);
@@ -195,7 +199,8 @@
 	gossip.config_age_ms = (uint32_t)CLAMP(
 		mbr->config.config_age(mbr->config.arg), 0, G_MAXINT32);
 	gossip.leaving = mbr->leaving;
-	packed = msg_pack(&gossip.base, len);
+	datagram.gossip = &gossip;
+	packed = msg_pack(&datagram.base, len);
 	g_ptr_array_free(demands, TRUE);
 	g_ptr_array_free(marks, TRUE);
 	drop_told_marks(mbr);
@@ -246,14 +251,74 @@
 	qta_heard(mbr->config.quota, gossip->id);
 	for (size_t i = 0; i < gossip->n_demands; i++)
 		qta_told(mbr->config.quota, gossip->id,
-			 gossip->demands[i]->account,
-			 gossip->demands[i]->per_s);
+			 gossip->demands[i]->account, gossip->demands[i]->per_s,
+			 gossip->demands[i]->has_tokens
+				 ? gossip->demands[i]->tokens
+				 : 0);
 	for (size_t i = 0; i < gossip->n_marks; i++)
 		mbr->config.marked(mbr->config.arg,
 				   gossip->marks[i]->fingerprint,
 				   gossip->marks[i]->server);
 }
 
+static void send_datagram(struct mbr *mbr, const char *id,
+			  const Rows__Datagram *datagram)
+{
+	struct member *member = g_hash_table_lookup(mbr->members, id);
+	uint8_t *packed;
+	size_t len;
+
+	if (member == NULL || member->addr.sin_port == 0)
+		return;
+	packed = msg_pack(&datagram->base, &len);
+	/* A datagram that is not sent is as good as a lost one. */
+	(void)sendto(mbr->fd, packed, len, MSG_DONTWAIT,
+		     (struct sockaddr *)&member->addr, sizeof(member->addr));
+	g_free(packed);
+}
+
+static void take_borrow(struct mbr *mbr, const Rows__Borrow *borrow)
+{
+	Rows__Datagram datagram = ROWS__DATAGRAM__INIT;
+	Rows__Lend lend = ROWS__LEND__INIT;
+	struct qta_limit limit;
+
+	lend.account = borrow->account;
+	lend.serial = borrow->serial;
+	if (mbr->config.limit(mbr->config.arg, borrow->account, &limit))
+		lend.granted =
+			qta_lend(mbr->config.quota, borrow->account, &limit,
+				 borrow->wanted, clock_boot_ms());
+	datagram.lend = &lend;
+	send_datagram(mbr, borrow->id, &datagram);
+}
+
+void mbr_borrow(struct mbr *mbr, const char *instance, const char *account,
+		uint32_t wanted, uint32_t serial)
+{
+	Rows__Datagram datagram = ROWS__DATAGRAM__INIT;
+	Rows__Borrow borrow = ROWS__BORROW__INIT;
+
+	borrow.id = (char *)mbr->config.id;
+	borrow.account = (char *)account;
+	borrow.wanted = wanted;
+	borrow.serial = serial;
+	datagram.borrow = &borrow;
+	send_datagram(mbr, instance, &datagram);
+}
+
+static void take_datagram(struct mbr *mbr, const Rows__Datagram *datagram)
+{
+	if (datagram->gossip != NULL)
+		take_gossip(mbr, datagram->gossip);
+	if (datagram->borrow != NULL)
+		take_borrow(mbr, datagram->borrow);
+	if (datagram->lend != NULL)
+		mbr->config.lent(mbr->config.arg, datagram->lend->account,
+				 datagram->lend->granted,
+				 datagram->lend->serial);
+}
+
 static void on_readable(evutil_socket_t fd, short what, void *arg)
 {
 	struct mbr *mbr = arg;
@@ -262,16 +327,16 @@
 
 	(void)what;
 	while ((len = recv(fd, data, sizeof(data), MSG_DONTWAIT)) > 0) {
-		Rows__Gossip *gossip =
-			rows__gossip__unpack(NULL, (size_t)len, data);
+		Rows__Datagram *datagram =
+			rows__datagram__unpack(NULL, (size_t)len, data);
 
-		if (gossip == NULL) {
+		if (datagram == NULL) {
 			slog("peer_fault", NULL,
 			     "\"step\":\"datagram\",\"bytes\":%zd", len);
 			continue;
 		}
-		take_gossip(mbr, gossip);
-		rows__gossip__free_unpacked(gossip, NULL);
+		take_datagram(mbr, datagram);
+		rows__datagram__free_unpacked(datagram, NULL);
 	}
 }
 
--- a/serve/members.h
+++ b/serve/members.h
@@ -28,6 +28,11 @@
 	uint64_t incarnation;
 	/** Age of the configuration, in ms. */
 	int64_t (*config_age)(void *arg);
+	/** The limit of an account; returns false if there is none. */
+	bool (*limit)(void *arg, const char *account, struct qta_limit *limit);
+	/** What was asked of another instance has come; @p granted may be 0. */
+	void (*lent)(void *arg, const char *account, uint32_t granted,
+		     uint32_t serial);
 	/** A request with that fingerprint was running when @p server broke. */
 	void (*marked)(void *arg, uint64_t fingerprint, const char *server);
 	void *arg;
@@ -42,7 +47,10 @@
 bool mbr_others_fresh(const struct mbr *mbr);
 /** Tells the others of a mark. */
 void mbr_mark(struct mbr *mbr, uint64_t fingerprint, const char *server);
-/** This instance takes its row away: it stops. */
+/** Asks @p instance for requests of an account's quota. */
+void mbr_borrow(struct mbr *mbr, const char *instance, const char *account,
+		uint32_t wanted, uint32_t serial);
+/** Tells the others that this instance stops. */
 void mbr_leave(struct mbr *mbr);
 
 #endif
