--- a/decide/quota.c
+++ b/decide/quota.c
@@ -17,6 +17,7 @@
 enum {
 	INSTANCES_UNKNOWN = 16, /* before the first list of instances */
 	WAIT_MOST_MS = 1000,
+	WORD_FRESH_MS = 600,	/* two words of an instance may get lost */
 	LENT_MS = 400, /* what was lent for a request that left is dropped */
 };
 
@@ -35,6 +36,8 @@
 struct word {
 	double demand;
 	double tokens;
+	int64_t at;
+	double own; /* our demand at that time */
 };
 
 struct qta {
@@ -90,15 +93,26 @@
 	return bucket;
 }
 
+static void fade(struct bucket *bucket, int64_t now)
+{
+	double age = (double)(now - bucket->demand_at);
+
+	bucket->demand *= exp(-age / DEMAND_FADE_MS);
+	bucket->demand_at = now;
+}
+
 void qta_told(struct qta *qta, const char *instance, const char *account,
-	      double per_s, double tokens)
+	      double per_s, double tokens, int64_t now)
 {
+	struct bucket *bucket = bucket_of(qta, account);
 	struct word *word = g_new(struct word, 1);
 
+	fade(bucket, now);
 	word->demand = isfinite(per_s) ? MAX(per_s, 0) : 0;
 	word->tokens = isfinite(tokens) ? tokens : 0;
-	g_hash_table_replace(bucket_of(qta, account)->others,
-			     g_strdup(instance), word);
+	word->at = now;
+	word->own = bucket->demand;
+	g_hash_table_replace(bucket->others, g_strdup(instance), word);
 }
 
 static void drop_demands(struct qta *qta, const char *instance)
@@ -131,15 +145,23 @@
 	qta->instances = MAX(count, 1);
 }
 
-static void fade(struct bucket *bucket, int64_t now)
+/*
+ * What another instance is taken to be asked for. One that has been silent for
+ * a while is taken to see demand grow as we do: each side of a cut then keeps
+ * the share that it had, whatever is asked of it.
+ */
+static double demand_of(const struct word *word, const struct bucket *bucket,
+			int64_t now)
 {
-	double age = (double)(now - bucket->demand_at);
+	double own = MAX(word->own, 1000.0 / DEMAND_FADE_MS);
 
-	bucket->demand *= exp(-age / DEMAND_FADE_MS);
-	bucket->demand_at = now;
+	if (now - word->at < WORD_FRESH_MS || bucket->demand <= own)
+		return word->demand;
+	return word->demand * bucket->demand / own;
 }
 
-static double share_of(const struct qta *qta, struct bucket *bucket)
+static double share_of(const struct qta *qta, struct bucket *bucket,
+		       int64_t now)
 {
 	double even = 1.0 / qta->instances;
 	double all = bucket->demand;
@@ -152,7 +174,7 @@
 		all += bucket->demand * (qta->instances - known);
 	g_hash_table_iter_init(&it, bucket->others);
 	while (g_hash_table_iter_next(&it, NULL, &word))
-		all += ((struct word *)word)->demand;
+		all += demand_of(word, bucket, now);
 	if (all < DEMAND_LEAST)
 		return even;
 	return EVEN_PART * even + (1 - EVEN_PART) * bucket->demand / all;
@@ -162,7 +184,7 @@
 static void refill(struct qta *qta, struct bucket *bucket,
 		   const struct qta_limit *limit, int64_t now)
 {
-	double share = share_of(qta, bucket);
+	double share = share_of(qta, bucket, now);
 	double most =
 		MAX(limit->burst * share, 1.0) + limit->slack / qta->instances;
 
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -34,7 +34,7 @@
 /** Another instance is asked for @p per_s requests a second by @p account, and
  * could send @p tokens at once. */
 void qta_told(struct qta *qta, const char *instance, const char *account,
-	      double per_s, double tokens);
+	      double per_s, double tokens, int64_t now);
 /** Forgets an instance that is known to send nothing any more. */
 void qta_forget(struct qta *qta, const char *instance);
 /** Says how many instances there are, this one included. */
--- a/serve/members.c
+++ b/serve/members.c
@@ -254,7 +254,8 @@
 			 gossip->demands[i]->account, gossip->demands[i]->per_s,
 			 gossip->demands[i]->has_tokens
 				 ? gossip->demands[i]->tokens
-				 : 0);
+				 : 0,
+			 member->heard_at);
 	for (size_t i = 0; i < gossip->n_marks; i++)
 		mbr->config.marked(mbr->config.arg,
 				   gossip->marks[i]->fingerprint,
