--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,8 @@
 PLATFORM = $(wildcard platform/*.c)
 SERVE = $(wildcard serve/*.c)
 APP = $(wildcard apricotshift/*.c)
-STANDIN = $(wildcard test/standins/*.c)
+STANDIN = $(filter-out test/standins/rowstore.c test/standins/backend.c,$(wildcard test/standins/*.c))
+FAKES = test/standins/rowstore.c test/standins/backend.c
 SIM = $(wildcard test/sim/*.c)
 obj = $(patsubst %.c,$(B)/obj/%.o,$(1))
 CORE = $(call obj,$(DECIDE) $(TABLE))
@@ -39,7 +40,7 @@
 $(B)/slopes: $(CORE) $(call obj,$(SIM) test/standins/model.c bench/slopes.c)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(B)/unit/%: $(CORE) $(B)/obj/test/unit/%.o $(call obj,$(PLATFORM) $(filter-out serve/http.c serve/loop.c serve/outbound.c,$(SERVE)))
+$(B)/unit/%: $(CORE) $(B)/obj/test/unit/%.o $(call obj,$(PLATFORM) $(FAKES) $(filter-out serve/http.c serve/loop.c serve/outbound.c,$(SERVE)))
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 
--- a/apricotshift/cmd_gateway.c
+++ b/apricotshift/cmd_gateway.c
@@ -18,6 +18,7 @@
 	};
 	GString *errors = g_string_new(NULL);
 	struct gw_settings *settings = NULL;
+	struct event_base *base = NULL;
 	struct gw *gw;
 	int status = CMD_USAGE;
 
@@ -29,7 +30,8 @@
 	status = settings != NULL ? CMD_OK : CMD_FAULTS;
 	if (settings == NULL || check)
 		goto out;
-	gw = gw_create(settings, path);
+	base = event_base_new();
+	gw = base ? gw_create(base, settings, path) : NULL;
 	if (gw == NULL) {
 		status = CMD_FAILED;
 		goto out;
@@ -37,6 +39,8 @@
 	gw_run(gw);
 	gw_destroy(gw);
 out:
+	if (base != NULL)
+		event_base_free(base);
 	gw_free_settings(settings);
 	g_string_free(errors, TRUE);
 	g_free(path);
--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -53,6 +53,7 @@
 	struct event *tick;
 	int64_t stop_at; /* when SIGTERM came; 0: it has not */
 	bool was_ready;
+	bool stopped;
 };
 
 struct gw_settings *gw_read_settings(const char *path, GString *errors)
@@ -198,12 +199,8 @@
 	up_close_idle(server->idle);
 }
 
-static void on_term(evutil_socket_t fd, short what, void *arg)
+void gw_stop(struct gw *gw)
 {
-	struct gw *gw = arg;
-
-	(void)fd;
-	(void)what;
 	if (gw->stop_at != 0)
 		return;
 	gw->stop_at = clock_boot_ms();
@@ -212,6 +209,18 @@
 	mbr_leave(gw->shared.members);
 }
 
+bool gw_stopped(const struct gw *gw)
+{
+	return gw->stopped;
+}
+
+static void on_term(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	gw_stop(arg);
+}
+
 /* Settings hold nothing that changes while a process runs; they are checked
  * so that a fault shows before the next start. */
 static void on_hup(evutil_socket_t fd, short what, void *arg)
@@ -239,8 +248,10 @@
 	in_stop_listening(gw->callers);
 	in_close_idle(gw->callers);
 	in_count(gw->callers, &conns, &requests);
-	if (conns == 0 || age > grace - END_EARLY_MS)
+	if (conns == 0 || age > grace - END_EARLY_MS) {
+		gw->stopped = true;
 		event_base_loopbreak(gw->base);
+	}
 }
 
 static void on_tick(evutil_socket_t fd, short what, void *arg)
@@ -341,13 +352,14 @@
 	return shared->members != NULL;
 }
 
-struct gw *gw_create(const struct gw_settings *settings, const char *path)
+struct gw *gw_create(struct event_base *base,
+		     const struct gw_settings *settings, const char *path)
 {
 	struct gw *gw = g_new0(struct gw, 1);
 
 	gw->settings = settings;
 	gw->path = path;
-	gw->base = event_base_new();
+	gw->base = base;
 	slog_open(settings->id);
 	slog("start", NULL, "\"zone\":%s,\"store\":%s",
 	     slog_quote(settings->zone), slog_quote(settings->store));
@@ -391,6 +403,5 @@
 	}
 	if (gw->tick != NULL)
 		event_free(gw->tick);
-	event_base_free(gw->base);
 	g_free(gw);
 }
--- a/serve/gateway.h
+++ b/serve/gateway.h
@@ -8,6 +8,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <event2/event.h>
 #include <glib.h>
 
 /** Settings of an instance; unset strings are NULL. */
@@ -32,10 +33,21 @@
 struct gw_settings *gw_read_settings(const char *path, GString *errors);
 void gw_free_settings(struct gw_settings *settings);
 
-/** Prepares an instance; returns NULL after a line on standard error. */
-struct gw *gw_create(const struct gw_settings *settings, const char *path);
+/**
+ * Prepares an instance on @p base.
+ *
+ * @param path where the settings came from; they are checked again on SIGHUP
+ * @return NULL after a line on standard error
+ */
+struct gw *gw_create(struct event_base *base,
+		     const struct gw_settings *settings, const char *path);
 /** Runs it until it is told to stop and its requests have ended. */
 void gw_run(struct gw *gw);
+/** Ends it at once; the base stays. */
 void gw_destroy(struct gw *gw);
+/** Begins a graceful shutdown, as SIGTERM does. */
+void gw_stop(struct gw *gw);
+/** Whether the shutdown is over. */
+bool gw_stopped(const struct gw *gw);
 
 #endif
--- a/serve/inbound.c
+++ b/serve/inbound.c
@@ -438,7 +438,11 @@
 		return;
 	in_stop_listening(in);
 	cds_list_for_each_entry_safe(conn, next, &in->conns, node)
+	{
+		if (conn->state == CONN_ANSWER)
+			in->handler->gone(in->arg, &conn->request);
 		conn_free(conn);
+	}
 	event_free(in->sweep);
 	g_free(in);
 }
@@ -539,6 +543,11 @@
 	answered(conn, conn->closing || !conn->chunked_answer);
 }
 
+void in_raw(struct in_request *request, const char *bytes)
+{
+	bufferevent_write(request->conn->bev, bytes, strlen(bytes));
+}
+
 void in_abort(struct in_request *request)
 {
 	struct in_conn *conn = request->conn;
--- a/serve/inbound.h
+++ b/serve/inbound.h
@@ -53,7 +53,7 @@
  */
 struct in *in_create(struct event_base *base, const char *address,
 		     const struct in_handler *handler, void *arg);
-/** Closes the listener and every connection. */
+/** Closes the listener and every connection; callers count as gone. */
 void in_destroy(struct in *in);
 void in_set_limits(struct in *in, const struct in_limits *limits);
 /** From now on each answer ends its connection. */
@@ -78,6 +78,8 @@
 void in_chunk(struct in_request *request, const void *data, size_t len);
 /** Ends an answer in chunks; the request is gone afterwards. */
 void in_finish(struct in_request *request);
+/** Writes bytes as they are, past all framing: for stand-ins that misbehave. */
+void in_raw(struct in_request *request, const char *bytes);
 /** Closes the connection: the caller sees that the answer is not whole. */
 void in_abort(struct in_request *request);
 
--- /dev/null
+++ b/test/standins/rowstore.h
@@ -0,0 +1,33 @@
+/**
+ * @file rowstore.h
+ * @brief Stand-in for the platform's store, by its published protocol.
+ */
+#ifndef APS_STANDIN_ROWSTORE_H
+#define APS_STANDIN_ROWSTORE_H
+
+#include <event2/event.h>
+#include <glib.h>
+
+/** What the store does with calls. */
+enum srs_mode {
+	SRS_OK,
+	SRS_BUSY,   /**< answers 503: nothing is done */
+	SRS_SILENT, /**< does nothing and does not answer */
+	SRS_LOST,   /**< does a write and does not answer it */
+};
+
+struct srs;
+
+/** Listens on @p address. */
+struct srs *srs_create(struct event_base *base, const char *address);
+void srs_destroy(struct srs *srs);
+void srs_set_mode(struct srs *srs, enum srs_mode mode);
+/** Writes a row past all conditions; NULL removes it. */
+void srs_put(struct srs *srs, const char *table, const char *part,
+	     const char *key, const char *value);
+/** Forgets the history: feeds have to begin again. */
+void srs_compact(struct srs *srs);
+/** How many rows a table has. */
+guint srs_rows(const struct srs *srs, const char *table);
+
+#endif
--- /dev/null
+++ b/test/unit/test_wire.c
@@ -0,0 +1,195 @@
+/** @file test_wire.c @brief The users' messages, whole and spoiled. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <json-c/json.h>
+
+#include "platform/wire.h"
+#include "serve/hdr.h"
+
+static const char config[] =
+	"{\"version\":7,\"routes\":[{\"name\":\"r\",\"hostname\":\"h.example\","
+	"\"prefix\":\"/p/\",\"route_type\":\"stream\",\"timeout_ms\":3000,"
+	"\"slo_ms\":200,\"priority\":1,\"traffic_split\":[{\"service\":\"a\","
+	"\"weight\":90},{\"service\":\"b\",\"weight\":10}],\"attempts\":2,"
+	"\"retain\":true,\"retention_s\":60.0,\"resumable\":false,"
+	"\"gap_target_ms\":300}],\"services\":[{\"name\":\"a\","
+	"\"max_conns\":300,\"cold_start_s\":3.0,\"cold_per_s\":44.0,"
+	"\"engine\":{\"slots\":48,\"stride\":26}},{\"name\":\"b\"}],"
+	"\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
+	"\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
+	"\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\",\"k2\"],"
+	"\"priority\":1,\"rate_per_s\":209,\"burst\":20}],\"new_field\":{}}";
+
+static const char server[] =
+	"{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+	"\"version\":\"v1\",\"slots\":48,\"state\":\"ready\","
+	"\"cold_left_ms\":1200,\"sequence\":4,\"born\":1700000000000}";
+
+static void test_config(void **state)
+{
+	char *fault = NULL;
+	struct cat *cat = wire_read_catalog(config, strlen(config), &fault);
+	const struct cat_route *route;
+
+	(void)state;
+	assert_non_null(cat);
+	assert_int_equal(cat_version(cat), 7);
+	route = cat_find_route(cat, "h.example", "/p/x");
+	assert_non_null(route);
+	assert_int_equal(route->kind, CAT_STREAM);
+	assert_true(route->retain);
+	assert_int_equal(route->retention_ms, 60000);
+	assert_int_equal(route->targets->len, 2);
+	assert_int_equal(cat_find_service(cat, "a")->stride, 26);
+	assert_string_equal(cat_find_key(cat, "k2")->name, "t");
+	assert_null(cat_find_key(cat, "k3"));
+	assert_true(cat_find_account(cat, "t")->burst == 20);
+	cat_unref(cat);
+}
+
+/* A spoiled configuration is refused whole, or read without what is spoiled;
+ * it never crashes. Each byte in turn is changed, and the text cut there. */
+static void test_spoiled_config(void **state)
+{
+	static const char spoil[] = {'"', '{', '0', '\0'};
+
+	(void)state;
+	for (size_t i = 0; i < strlen(config); i++) {
+		char *text = g_strdup(config);
+
+		for (size_t k = 0; k < sizeof(spoil); k++) {
+			char *fault = NULL;
+
+			text[i] = spoil[k];
+			cat_unref(wire_read_catalog(text, strlen(config),
+						    &fault));
+			g_free(fault);
+			fault = NULL;
+			cat_unref(wire_read_catalog(config, i, &fault));
+			g_free(fault);
+		}
+		g_free(text);
+	}
+}
+
+static bool reads(const char *text)
+{
+	struct flt_entry entry;
+	json_object *root = NULL;
+	bool ok = wire_read_server("i", text, strlen(text), &entry, &root);
+
+	json_object_put(root);
+	return ok;
+}
+
+static void test_server(void **state)
+{
+	struct flt_entry entry;
+	json_object *root = NULL;
+
+	(void)state;
+	assert_true(wire_read_server("i", server, strlen(server), &entry,
+				     &root));
+	assert_string_equal(entry.address, "10.0.0.9:80");
+	assert_int_equal(entry.cold_ms, 1200);
+	assert_int_equal(entry.born_ms, 1700000000000);
+	assert_false(entry.draining);
+	json_object_put(root);
+}
+
+static void test_spoiled_servers_name_none(void **state)
+{
+	static const char *const texts[] = {
+		"", "null", "[]", "{}", "\xff\xfe",
+		"{\"service\":\"a\",\"address\":\"x:1\",\"zone\":\"z\","
+		"\"slots\":\"48\",\"state\":\"ready\"}",
+		"{\"service\":\"a\",\"address\":7,\"zone\":\"z\",\"slots\":4,"
+		"\"state\":\"ready\"}",
+		"{\"service\":\"a\",\"address\":\"x:1\",\"zone\":\"z\","
+		"\"slots\":4,\"state\":\"sleeping\"}",
+		"{\"service\":\"a\",\"address\":\"x:1\",\"slots\":4,"
+		"\"state\":\"ready\"}",
+	};
+
+	(void)state;
+	assert_true(reads(server));
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		assert_false(reads(texts[i]));
+}
+
+static void add(GArray *headers, const char *name, const char *value)
+{
+	hdr_name_piece(headers, name, strlen(name));
+	hdr_value_piece(headers, value, strlen(value));
+}
+
+static void test_call_towards_a_server(void **state)
+{
+	struct in_request request = {.method = "POST",
+				     .target = "/p/x?q=1",
+				     .headers = hdr_create()};
+	struct forward forward = {.server = "i-1",
+				  .account = "t",
+				  .deadline_ms = 2900,
+				  .last_event = -1,
+				  .priority = 1};
+	GArray *headers = (GArray *)request.headers;
+	struct call call;
+	GString *head;
+
+	(void)state;
+	assert_false(wire_read_call(&request, &call));
+	add(headers, "Host", "h.example");
+	add(headers, "Request-Id", "r1");
+	add(headers, "Authorization", "Bearer secret");
+	add(headers, "Deadline-Ms", "3000");
+	add(headers, "Token-Usage", "1460,80");
+	add(headers, "Token-Budget", "4640");
+	add(headers, "Prompt-Prefix", "5c1e07a2:800,91bd3f06:410");
+	add(headers, "Tenant", "somebody");
+	add(headers, "Hold", "h");
+	add(headers, "Kv-From", "10.0.0.1:1/x");
+	add(headers, "Pin-Ms", "5");
+	add(headers, "Connection", "keep-alive, X-Once");
+	add(headers, "X-Once", "1");
+	add(headers, "X-Kept", "1");
+	assert_true(wire_read_call(&request, &call));
+	assert_string_equal(call.key, "secret");
+	assert_int_equal(call.deadline_ms, 3000);
+	assert_int_equal(call.most_tokens, 80);
+	assert_int_equal(call.budget, 4640);
+	assert_int_not_equal(call.shared, 0);
+	assert_int_equal(call.last_event, -1);
+	head = wire_write_call(&request, &forward, 3);
+	assert_null(strstr(head->str, "secret"));
+	assert_null(strstr(head->str, "somebody"));
+	assert_null(strstr(head->str, "Hold"));
+	assert_null(strstr(head->str, "Kv-From"));
+	assert_null(strstr(head->str, "Pin-Ms"));
+	assert_null(strstr(head->str, "X-Once"));
+	assert_non_null(strstr(head->str, "POST /p/x?q=1 HTTP/1.1\r\n"));
+	assert_non_null(strstr(head->str, "X-Kept: 1\r\n"));
+	assert_non_null(strstr(head->str, "Tenant: t\r\n"));
+	assert_non_null(strstr(head->str, "Target-Instance: i-1\r\n"));
+	assert_non_null(strstr(head->str, "Deadline-Ms: 2900\r\n"));
+	assert_non_null(strstr(head->str, "Content-Length: 3\r\n"));
+	g_string_free(head, TRUE);
+	g_array_unref(headers);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_config),
+		cmocka_unit_test(test_spoiled_config),
+		cmocka_unit_test(test_server),
+		cmocka_unit_test(test_spoiled_servers_name_none),
+		cmocka_unit_test(test_call_towards_a_server),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
