Connections to a server are shared between instances

Cause: read while writing the tests: a server resets what goes beyond max_conns, and nothing bounded an instance's part of them. Test: test_connections_are_shared did not compile before (no such field), passes after. A refused request gives quota back only if it had taken some.

--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -251,6 +251,15 @@
 	return g_queue_get_length(server->sends) >= MAX(1, (guint)share);
 }
 
+/* Whether this instance's share of the server's connections is used up. */
+static bool out_of_connections(const struct flt_server *server,
+			       const struct flt_query *query)
+{
+	uint32_t share = query->max_conns / MAX(query->instances, 1);
+
+	return query->max_conns > 0 && server->running >= MAX(share, 1);
+}
+
 /* Requests at the server: its own word, corrected by what was sent since. */
 static double load_of(const struct flt_server *server, int64_t now)
 {
@@ -315,6 +324,10 @@
 			*why = FLT_ALL_COLD;
 			continue;
 		}
+		if (out_of_connections(server, query)) {
+			*why = FLT_ALL_FULL;
+			continue;
+		}
 		cost = cost_of(server, query, now);
 		if (best == NULL || cost < best_cost ||
 		    (cost == best_cost &&
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -66,7 +66,8 @@
 	double away_ms;	    /**< what leaving the zone costs */
 	double work_ms;	    /**< what one request ahead of it costs */
 	double cold_per_s;  /**< requests a second that a cold server bears */
-	uint32_t instances; /**< that share this limit */
+	uint32_t max_conns; /**< connections that a server accepts */
+	uint32_t instances; /**< that share these limits */
 	const GPtrArray *tried; /**< ids of servers to leave out */
 };
 
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -17,7 +17,7 @@
 enum {
 	INSTANCES_UNKNOWN = 16, /* before the first list of instances */
 	WAIT_MOST_MS = 1000,
-	WORD_FRESH_MS = 600,	/* two words of an instance may get lost */
+	WORD_FRESH_MS = 600, /* two words of an instance may get lost */
 	LENT_MS = 400, /* what was lent for a request that left is dropped */
 };
 
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -37,6 +37,7 @@
 	int64_t began;
 	int64_t deadline_at;
 	struct adm_wait *admission; /* it waits for its quota */
+	bool admitted;		    /* it has taken from its quota */
 	uint64_t fingerprint;
 	GBytes *body; /* as it goes to the server */
 
@@ -154,7 +155,7 @@
 		   const char *cause, int64_t wait_ms)
 {
 	sts_count(counter);
-	if (x->account != NULL)
+	if (x->admitted)
 		qta_give_back(x->shared->quota, x->account->name);
 	reply_own(x, status, cause, wait_ms);
 }
@@ -566,6 +567,7 @@
 		.away_ms = AWAY_MS,
 		.work_ms = x->service->engine ? 1.0 : 10.0,
 		.cold_per_s = x->service->cold_per_s,
+		.max_conns = x->service->max_conns,
 		.instances = mbr_count(x->shared->members),
 		.tried = x->tried,
 	};
@@ -692,6 +694,7 @@
 
 	x->admission = NULL;
 	if (admitted) {
+		x->admitted = true;
 		proceed(x);
 		return;
 	}
--- a/serve/inbound.c
+++ b/serve/inbound.c
@@ -437,8 +437,7 @@
 	if (in == NULL)
 		return;
 	in_stop_listening(in);
-	cds_list_for_each_entry_safe(conn, next, &in->conns, node)
-	{
+	cds_list_for_each_entry_safe(conn, next, &in->conns, node) {
 		if (conn->state == CONN_ANSWER)
 			in->handler->gone(in->arg, &conn->request);
 		conn_free(conn);
--- a/test/standins/backend.c
+++ b/test/standins/backend.c
@@ -72,13 +72,11 @@
 {
 	GString *headers = g_string_new(NULL);
 
-	g_string_printf(headers,
-			"Request-Id: %s\r\nServer-Load: 1,0,8\r\n",
+	g_string_printf(headers, "Request-Id: %s\r\nServer-Load: 1,0,8\r\n",
 			header(request, "Request-Id"));
 	if (sbe->mode != SBE_UNSIGNED)
-		g_string_append_printf(headers,
-				       "Response-Signature: sig-%s\r\n",
-				       sbe->id);
+		g_string_append_printf(
+			headers, "Response-Signature: sig-%s\r\n", sbe->id);
 	if (sbe->mode == SBE_ENCODED)
 		g_string_append(headers, "Content-Encoding: gzip\r\n");
 	return headers;
@@ -115,9 +113,8 @@
 		in_finish(request);
 		return;
 	}
-	len = g_snprintf(event, sizeof(event),
-			 "id: %d\ndata: %s-%d\n\n", (int)stream->next, sbe->id,
-			 (int)stream->next);
+	len = g_snprintf(event, sizeof(event), "id: %d\ndata: %s-%d\n\n",
+			 (int)stream->next, sbe->id, (int)stream->next);
 	if (sbe->mode == SBE_CUTS && stream->next == 2) {
 		in_chunk(request, event, (size_t)len / 2);
 		stream_free(stream);
@@ -164,10 +161,9 @@
 	char *body = g_strdup_printf("answer of %s", sbe->id);
 
 	if (sbe->mode == SBE_FOREIGN)
-		in_raw(request,
-			     "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
-			     "Response-Signature: sig\r\n"
-			     "Content-Length: 5\r\n\r\nwrong");
+		in_raw(request, "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
+				"Response-Signature: sig\r\n"
+				"Content-Length: 5\r\n\r\nwrong");
 	if (sbe->mode == SBE_EXTRA)
 		reply_with_more(request, headers->str, body);
 	else
--- a/test/standins/rowstore.c
+++ b/test/standins/rowstore.c
@@ -177,8 +177,8 @@
 	char *part = field(request, "part");
 	char *from = field(request, "from");
 	char *to = field(request, "to");
-	struct scan scan = {table,	     part, from, to, -1,
-			    json_object_new_array(), false};
+	struct scan scan = {table, part, from, to, -1, json_object_new_array(),
+			    false};
 
 	g_tree_foreach(srs->rows, scan_row, &scan);
 	answer(srs, request, 200, scan.rows, scan.more);
@@ -392,9 +392,9 @@
 void srs_put(struct srs *srs, const char *table, const char *part,
 	     const char *key, const char *value)
 {
-	char *encoded = value ? g_base64_encode((const guchar *)value,
-						strlen(value))
-			      : NULL;
+	char *encoded =
+		value ? g_base64_encode((const guchar *)value, strlen(value))
+		      : NULL;
 
 	srs->version++;
 	store(srs, table, part, key, encoded);
--- a/test/unit/test_budget.c
+++ b/test/unit/test_budget.c
@@ -92,8 +92,8 @@
 	if (fate == 0)
 		return;
 	if (fate == 1) {
-		run->late[i] = (struct late){true, at->version, cap,
-					     at->incarnation};
+		run->late[i] =
+			(struct late){true, at->version, cap, at->incarnation};
 		return;
 	}
 	if (!apply(run, at->version, at->incarnation, cap)) {
--- a/test/unit/test_fleet.c
+++ b/test/unit/test_fleet.c
@@ -221,6 +221,24 @@
 	flt_destroy(flt);
 }
 
+/* All instances at their worst stay under what a server accepts. */
+static void test_connections_are_shared(void **state)
+{
+	struct flt *flt = flt_create(no_idle);
+	struct flt_query q = query();
+	enum flt_none why;
+	uint32_t open = 0;
+
+	(void)state;
+	q.max_conns = 110;
+	put(flt, "1", "a", false, 0, 0);
+	for (struct flt_server *s; (s = flt_pick(flt, &q, 0, &why)); open++)
+		flt_sent(s, 0);
+	assert_int_equal(why, FLT_ALL_FULL);
+	assert_true(open > 0 && open * INSTANCES <= q.max_conns);
+	flt_destroy(flt);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -231,6 +249,7 @@
 		cmocka_unit_test(test_same_line_same_server_until_it_is_busy),
 		cmocka_unit_test(test_failed_server_is_avoided_for_a_while),
 		cmocka_unit_test(test_tried_servers_are_left_out),
+		cmocka_unit_test(test_connections_are_shared),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/unit/test_gateway.c
+++ b/test/unit/test_gateway.c
@@ -152,8 +152,8 @@
 	g_free(text);
 }
 
-static void put_server(const char *id, const char *service,
-		       const char *address, const char *state)
+static void put_server(const char *id, const char *service, const char *address,
+		       const char *state)
 {
 	char *text = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\","
@@ -330,7 +330,7 @@
 {
 	static const struct {
 		enum sbe_mode mode;
-		int status;  /* of what must not run twice */
+		int status; /* of what must not run twice */
 		guint runs;
 	} cases[] = {
 		{SBE_RESETS, 502, 1},	{SBE_GARBLES, 502, 1},
@@ -406,8 +406,7 @@
 	assert_int_equal(got.status, 200);
 	got_clear(&got);
 	run = g_ptr_array_index(sbe_runs(w.engines[0]), 1);
-	assert_string_equal(run->body,
-			    "one\ne1-1\ne1-2\ne1-3\ne1-4\ntwo\n");
+	assert_string_equal(run->body, "one\ne1-1\ne1-2\ne1-3\ne1-4\ntwo\n");
 	/* A new program goes on from a turn of another one. */
 	call(&got, 0, "/kept/turn",
 	     KEY "Program-Id: q\r\nRequest-Id: t3\r\nToken-Usage: 1,60\r\n"
@@ -517,9 +516,8 @@
 	call(&got, 0, "/kept/turn", KEY TURN "Request-Id: k1\r\n", "x");
 	assert_int_equal(got.end, UP_BROKEN);
 	assert_null(strstr(got.body->str, "id: 2"));
-	assert_int_equal(sbe_runs(w.engines[0])->len +
-				 sbe_runs(w.engines[1])->len,
-			 1);
+	assert_int_equal(
+		sbe_runs(w.engines[0])->len + sbe_runs(w.engines[1])->len, 1);
 	got_clear(&got);
 }
 
--- a/test/unit/test_quota.c
+++ b/test/unit/test_quota.c
@@ -21,7 +21,7 @@
 	GOSSIP_MS = 250,
 	LENDERS = 3,
 	WINDOW_MS = 5000,
-	WAIT_MS = 120,	/* how long a request may wait for a token */
+	WAIT_MS = 120, /* how long a request may wait for a token */
 	RUN_MS = 20000,
 };
 
@@ -111,10 +111,10 @@
 		if (name == NULL || fleet->cut[from])
 			break;
 		g_ptr_array_add(asked, (gpointer)names[from]);
-		qta_borrowed(fleet->at[i], "a",
-			     qta_lend(fleet->at[from], "a", &fleet->limit, 2,
-				      now),
-			     now);
+		qta_borrowed(
+			fleet->at[i], "a",
+			qta_lend(fleet->at[from], "a", &fleet->limit, 2, now),
+			now);
 		ok = qta_take(fleet->at[i], "a", &fleet->limit, begins, now,
 			      &wait_ms);
 	}
--- a/test/unit/test_request.c
+++ b/test/unit/test_request.c
@@ -38,9 +38,9 @@
 	add_route(cat, "h.example", "/a/b/", 1);
 	add_route(cat, "g.example", "/", 0);
 	cat_seal(cat);
-	assert_string_equal(cat_find_route(cat, "h.example:80", "/a/b/c?q")
-				    ->prefix,
-			    "/a/b/");
+	assert_string_equal(
+		cat_find_route(cat, "h.example:80", "/a/b/c?q")->prefix,
+		"/a/b/");
 	assert_string_equal(cat_find_route(cat, "h.example", "/a/bb")->prefix,
 			    "/a/");
 	assert_null(cat_find_route(cat, "h.example", "/a"));
@@ -87,8 +87,7 @@
 static void test_silence_ends_only_what_may_run_again(void **state)
 {
 	struct rty_state once = {.attempts = 2, .runs = 1};
-	struct rty_state again = {
-		.idempotent = true, .attempts = 2, .runs = 1};
+	struct rty_state again = {.idempotent = true, .attempts = 2, .runs = 1};
 	struct rty_state last = {.idempotent = true, .attempts = 1, .runs = 1};
 
 	(void)state;
@@ -185,8 +184,9 @@
 
 static void test_events_at_any_split(void **state)
 {
-	static const char text[] = "id: 1\ndata: a\n\nweight-versions:3\nid:2\r\n"
-				   "data:b\r\ndata: c\r\n\r\n: note\n\nid: 3\n";
+	static const char text[] =
+		"id: 1\ndata: a\n\nweight-versions:3\nid:2\r\n"
+		"data:b\r\ndata: c\r\n\r\n: note\n\nid: 3\n";
 	size_t len = strlen(text);
 
 	(void)state;
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -92,8 +92,8 @@
 	json_object *root = NULL;
 
 	(void)state;
-	assert_true(wire_read_server("i", server, strlen(server), &entry,
-				     &root));
+	assert_true(
+		wire_read_server("i", server, strlen(server), &entry, &root));
 	assert_string_equal(entry.address, "10.0.0.9:80");
 	assert_int_equal(entry.cold_ms, 1200);
 	assert_int_equal(entry.born_ms, 1700000000000);
@@ -104,7 +104,11 @@
 static void test_spoiled_servers_name_none(void **state)
 {
 	static const char *const texts[] = {
-		"", "null", "[]", "{}", "\xff\xfe",
+		"",
+		"null",
+		"[]",
+		"{}",
+		"\xff\xfe",
 		"{\"service\":\"a\",\"address\":\"x:1\",\"zone\":\"z\","
 		"\"slots\":\"48\",\"state\":\"ready\"}",
 		"{\"service\":\"a\",\"address\":7,\"zone\":\"z\",\"slots\":4,"
