--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -15,6 +15,10 @@
 
 /* What a server that is full costs beside one that is not. */
 #define FULL_MS 500.0
+/* What a request that fails costs: the way back, and the next try. */
+#define FAULT_MS 400.0
+/* Weight of the newest of the last ten or so values. */
+#define SMOOTH 0.1
 
 struct flt {
 	flt_drop_idle *drop;
@@ -113,7 +117,6 @@
 	server->evacuated = g_hash_table_contains(flt->out, entry->zone);
 	server->sends = g_queue_new();
 	server->idle = g_queue_new();
-	server->pace = 1.0;
 	g_hash_table_insert(flt->servers, server->id, server);
 	g_ptr_array_add(service_servers(flt, server->service), server);
 	return server;
@@ -288,7 +291,9 @@
 		      const struct flt_query *query, int64_t now)
 {
 	double load = load_of(server, now);
-	double cost = load * query->work_ms * server->pace;
+	double cost = load * query->work_ms +
+		      server->gap_ms * query->events +
+		      server->faults * FAULT_MS;
 
 	if (load >= server->slots)
 		cost += FULL_MS + 50.0 * (load - server->slots);
@@ -390,13 +395,23 @@
 	for (uint32_t i = 0; i < server->failures && wait < AVOID_MOST_MS; i++)
 		wait *= 2;
 	server->failures++;
+	server->faults += SMOOTH * (1 - server->faults);
 	server->avoid_until = now + MIN(wait, AVOID_MOST_MS);
 }
 
-void flt_answered(struct flt_server *server)
+void flt_answered(struct flt_server *server, bool fault)
 {
 	server->failures = 0;
 	server->avoid_until = 0;
+	server->faults += SMOOTH * ((fault ? 1.0 : 0.0) - server->faults);
+}
+
+void flt_paced(struct flt_server *server, double gap_ms)
+{
+	if (server->gap_ms <= 0)
+		server->gap_ms = gap_ms;
+	else
+		server->gap_ms += SMOOTH * (gap_ms - server->gap_ms);
 }
 
 void flt_replaced(struct flt_server *server, int64_t now)
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -52,7 +52,9 @@
 	uint32_t failures;   /**< in a row */
 	GQueue *sends;	     /**< times of the sends of the last second */
 	GQueue *idle;	     /**< kept connections; owned by the caller */
-	double pace;	     /**< measured time over expected time, smoothed */
+	double gap_ms;	       /**< between two events of a stream, smoothed; 0:
+				  none has been seen */
+	double faults;	       /**< share of requests that failed, smoothed */
 	flt_drop_idle *drop;
 };
 
@@ -65,6 +67,7 @@
 	double affinity_ms; /**< what missing that state costs */
 	double away_ms;	    /**< what leaving the zone costs */
 	double work_ms;	    /**< what one request ahead of it costs */
+	double events;	    /**< that its stream will have; 0: no stream */
 	double cold_per_s;  /**< requests a second that a cold server bears */
 	uint32_t max_conns; /**< connections that a server accepts */
 	uint32_t instances; /**< that share these limits */
@@ -122,8 +125,10 @@
 	      int64_t now);
 /** A connection to @p server failed or broke. */
 void flt_failed(struct flt_server *server, int64_t now);
-/** The server answered. */
-void flt_answered(struct flt_server *server);
+/** The server answered; @p fault: with a failure of its own. */
+void flt_answered(struct flt_server *server, bool fault);
+/** A stream of the server came with this time between two events. */
+void flt_paced(struct flt_server *server, double gap_ms);
 /** The server at that address has another id. */
 void flt_replaced(struct flt_server *server, int64_t now);
 
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -114,7 +114,7 @@
 /* The first wait of one kind, or NULL. */
 static struct adm_wait *first_wait(struct queue *queue, bool begins)
 {
-	struct adm_wait *wait;
+	struct adm_wait *wait = NULL;
 
 	cds_list_for_each_entry(wait, &queue->waits, node) {
 		if (wait->begins == begins)
@@ -169,8 +169,8 @@
 /* Nobody lends: who can't be let in before its time is refused at once. */
 static void refuse_hopeless(struct queue *queue, int64_t now)
 {
-	struct adm_wait *wait;
-	struct adm_wait *next;
+	struct adm_wait *wait = NULL;
+	struct adm_wait *next = NULL;
 	double at = 0;
 
 	cds_list_for_each_entry_safe(wait, next, &queue->waits, node) {
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -16,6 +16,8 @@
 	NO_DEADLINE_MS = 30000, /* where neither caller nor route says */
 	ANSWER_MOST = 16777216, /* bytes of an answer that is held whole */
 	PLACE_AGAIN_MS = 8,	/* between two looks for a place */
+	TURN_MS = 3,		/* by which a turn slows another one down */
+	CALL_MS = 10,		/* a call that waits for another one */
 	AWAY_MS = 4,		/* a request to another zone, and its bytes */
 	STICKY_MS = 12,		/* the history of a line, read again */
 	SESSION_MS = 65000,
@@ -50,6 +52,8 @@
 	struct up_call *up;
 	struct answer answer;
 	int64_t sent_at;
+	int64_t paced_from;    /* its first event */
+	uint32_t paced_events; /* and how many came after it */
 	bool reading; /* the head of the present answer has come */
 	bool misfit;  /* it does not go on where the one before broke off */
 
@@ -342,6 +346,10 @@
 	}
 	g_byte_array_append(x->held, (const guint8 *)event->raw,
 			    (guint)event->raw_len);
+	if (x->paced_from == 0)
+		x->paced_from = clock_boot_ms();
+	else
+		x->paced_events++;
 	if (!x->first_seen)
 		sts_time(STS_FIRST_EVENT, clock_boot_ms() - x->began);
 	x->first_seen = true;
@@ -428,7 +436,11 @@
 		no_answer(x, RTY_BROKEN, "answer not the server's own");
 		return;
 	}
-	flt_answered(x->server);
+	flt_answered(x->server, x->status >= 500);
+	if (x->paced_events > 1)
+		flt_paced(x->server,
+			  (double)(clock_boot_ms() - x->paced_from) /
+				  x->paced_events);
 	remember_session(x);
 	x->ended = true;
 	event_del(x->pause);
@@ -489,6 +501,8 @@
 	x->state.sends++;
 	x->reading = false;
 	x->misfit = false;
+	x->paced_from = 0;
+	x->paced_events = 0;
 	memset(&x->answer, 0, sizeof(x->answer));
 	evt_reset(x->events);
 	if (!x->state.begun && x->headers != NULL && x->held->len == 0) {
@@ -555,6 +569,12 @@
 	return session ? session->server : NULL;
 }
 
+/* How many events a turn will have: half of the most is usual. */
+static double events_of(const struct xch *x)
+{
+	return (double)x->call.most_tokens / MAX(x->service->stride, 1) / 2;
+}
+
 static void place(struct xch *x)
 {
 	int64_t now = clock_boot_ms();
@@ -565,7 +585,8 @@
 		.affinity = x->call.shared ^ x->call.affinity,
 		.affinity_ms = STICKY_MS,
 		.away_ms = AWAY_MS,
-		.work_ms = x->service->engine ? 1.0 : 10.0,
+		.work_ms = x->service->engine ? TURN_MS : CALL_MS,
+		.events = x->service->engine ? events_of(x) : 0,
 		.cold_per_s = x->service->cold_per_s,
 		.max_conns = x->service->max_conns,
 		.instances = mbr_count(x->shared->members),
--- a/test/unit/test_fleet.c
+++ b/test/unit/test_fleet.c
@@ -59,6 +59,21 @@
 	return server ? server->id : "";
 }
 
+static void pace_second(struct flt_server *server, void *arg)
+{
+	(void)arg;
+	flt_paced(server, strcmp(server->id, "2") == 0 ? 2 : 1);
+}
+
+static void spoil_third(struct flt_server *server, void *arg)
+{
+	(void)arg;
+	if (strcmp(server->id, "3") != 0)
+		return;
+	for (int i = 0; i < 20; i++)
+		flt_answered(server, i % 2 == 0);
+}
+
 static void test_draining_and_gone_get_nothing(void **state)
 {
 	struct flt *flt = flt_create(no_idle);
@@ -108,7 +123,7 @@
 static void test_cold_server_bears_all_instances(void **state)
 {
 	struct flt_query q = query();
-	int64_t at[10000];
+	static int64_t at[10000];
 	int n = 0;
 	int most = 0;
 
@@ -221,6 +236,32 @@
 	flt_destroy(flt);
 }
 
+/* Slow servers get work once the fast ones are busy, faulty ones less. */
+static void test_slow_and_faulty_servers_get_less(void **state)
+{
+	struct flt *flt = flt_create(no_idle);
+	struct flt_query q = query();
+	enum flt_none why;
+
+	(void)state;
+	q.events = 10;
+	q.work_ms = 3;
+	put(flt, "1", "a", false, 0, 0);
+	put(flt, "2", "a", false, 0, 0);
+	for (int i = 0; i < 50; i++) {
+		flt_paced(flt_pick(flt, &q, 0, &why), 1);
+		flt_foreach(flt, pace_second, NULL);
+	}
+	assert_string_equal(picked(flt, &q, 0), "1");
+	for (int i = 0; i < SLOTS; i++)
+		flt_sent(flt_pick(flt, &q, 0, &why), 0);
+	assert_string_equal(picked(flt, &q, 0), "2");
+	put(flt, "3", "a", false, 0, 0);
+	flt_foreach(flt, spoil_third, NULL);
+	assert_string_not_equal(picked(flt, &q, 0), "3");
+	flt_destroy(flt);
+}
+
 /* All instances at their worst stay under what a server accepts. */
 static void test_connections_are_shared(void **state)
 {
@@ -250,6 +291,7 @@
 		cmocka_unit_test(test_failed_server_is_avoided_for_a_while),
 		cmocka_unit_test(test_tried_servers_are_left_out),
 		cmocka_unit_test(test_connections_are_shared),
+		cmocka_unit_test(test_slow_and_faulty_servers_get_less),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
