--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -292,7 +292,7 @@
 {
 	double load = load_of(server, now);
 	double cost = load * query->work_ms +
-		      server->gap_ms * query->events +
+		      MIN(server->gap_ms * query->events, 400.0) * 0.3 +
 		      server->faults * FAULT_MS;
 
 	if (load >= server->slots)
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -16,7 +16,7 @@
 	NO_DEADLINE_MS = 30000, /* where neither caller nor route says */
 	ANSWER_MOST = 16777216, /* bytes of an answer that is held whole */
 	PLACE_AGAIN_MS = 8,	/* between two looks for a place */
-	TURN_MS = 3,		/* by which a turn slows another one down */
+	TURN_MS = 1,		/* by which a turn slows another one down */
 	CALL_MS = 10,		/* a call that waits for another one */
 	AWAY_MS = 4,		/* a request to another zone, and its bytes */
 	STICKY_MS = 12,		/* the history of a line, read again */
@@ -54,8 +54,8 @@
 	int64_t sent_at;
 	int64_t paced_from;    /* its first event */
 	uint32_t paced_events; /* and how many came after it */
-	bool reading; /* the head of the present answer has come */
-	bool misfit;  /* it does not go on where the one before broke off */
+	bool reading;	       /* the head of the present answer has come */
+	bool misfit; /* it does not go on where the one before broke off */
 
 	int status;
 	GString *headers;
@@ -438,9 +438,8 @@
 	}
 	flt_answered(x->server, x->status >= 500);
 	if (x->paced_events > 1)
-		flt_paced(x->server,
-			  (double)(clock_boot_ms() - x->paced_from) /
-				  x->paced_events);
+		flt_paced(x->server, (double)(clock_boot_ms() - x->paced_from) /
+					     x->paced_events);
 	remember_session(x);
 	x->ended = true;
 	event_del(x->pause);
@@ -586,7 +585,9 @@
 		.affinity_ms = STICKY_MS,
 		.away_ms = AWAY_MS,
 		.work_ms = x->service->engine ? TURN_MS : CALL_MS,
-		.events = x->service->engine ? events_of(x) : 0,
+		.events = x->service->engine && sticky_server(x) == NULL
+				  ? events_of(x)
+				  : 0,
 		.cold_per_s = x->service->cold_per_s,
 		.max_conns = x->service->max_conns,
 		.instances = mbr_count(x->shared->members),
