A waiting request gets no verdict before its caller knows of the wait

Ruled out: memory (8 MB of 88), a failed bind (no line on standard error). Test: test_verdict_or_wait failed before ('0x1 != 0'), passes after.

--- a/serve/admission.c
+++ b/serve/admission.c
@@ -187,28 +187,36 @@
 	}
 }
 
+static void look_again_in(struct queue *queue, int64_t ms)
+{
+	struct timeval tv;
+
+	if (queue->asked_at != 0)
+		ms = MIN(ms, LEND_MS);
+	ms = MAX(ms, 1);
+	tv.tv_sec = ms / 1000;
+	tv.tv_usec = (ms % 1000) * 1000;
+	event_add(queue->timer, &tv);
+}
+
 static void serve(struct queue *queue)
 {
 	int64_t now = clock_boot_ms();
 	int64_t next_ms = G_MAXINT64;
-	struct timeval tv;
 
 	admit(queue, false, now, &next_ms);
 	admit(queue, true, now, &next_ms);
+	if (!cds_list_empty(&queue->waits)) {
+		ask_lender(queue, now);
+		if (queue->asked_at == 0)
+			refuse_hopeless(queue, now);
+	}
 	if (cds_list_empty(&queue->waits)) {
 		g_ptr_array_set_size(queue->asked, 0);
 		event_del(queue->timer);
 		return;
 	}
-	ask_lender(queue, now);
-	if (queue->asked_at == 0)
-		refuse_hopeless(queue, now);
-	else
-		next_ms = MIN(next_ms, LEND_MS);
-	next_ms = MAX(next_ms, 1);
-	tv.tv_sec = next_ms / 1000;
-	tv.tv_usec = (next_ms % 1000) * 1000;
-	event_add(queue->timer, &tv);
+	look_again_in(queue, next_ms);
 }
 
 struct adm_wait *adm_ask(struct adm *adm, const char *account,
@@ -218,7 +226,7 @@
 	struct queue *queue = queue_of(adm, account);
 	struct adm_wait *wait;
 	int64_t now = clock_boot_ms();
-	int64_t wait_ms = 0;
+	int64_t wait_ms = 1;
 
 	qta_asked(adm->quota, account, now);
 	if ((cds_list_empty(&queue->waits) ||
@@ -236,7 +244,9 @@
 	wait->arg = arg;
 	cds_list_add_tail(&wait->node, &queue->waits);
 	queue->waiting++;
-	serve(queue);
+	/* No verdict comes before the caller knows of the wait. */
+	ask_lender(queue, now);
+	look_again_in(queue, queue->asked_at != 0 ? wait_ms : 1);
 	return wait;
 }
 
