--- a/serve/slog.c
+++ b/serve/slog.c
@@ -5,7 +5,6 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "clock.h"
 #include "slog.h"
 
 enum {
@@ -89,7 +88,7 @@
 
 void slog(const char *kind, const char *id, const char *fields, ...)
 {
-	gint64 now = clock_boot_ms();
+	gint64 now = g_get_real_time() / 1000;
 	guint64 dropped;
 	va_list ap;
 
--- a/serve/slog.h
+++ b/serve/slog.h
@@ -4,7 +4,8 @@
  *
  * Lines are collected and written a few times a second; a reader that does
  * not read costs lines, never time. Each kind of line has a rate; what goes
- * beyond it is counted and the count is logged.
+ * beyond it is counted and the count is logged. `t` is Unix time in ms, so that
+ * lines of several instances can be put in order.
  */
 #ifndef APS_SLOG_H
 #define APS_SLOG_H
--- a/serve/turns.c
+++ b/serve/turns.c
@@ -9,102 +9,18 @@
 #include "decide/history.h"
 #include "proto/message.h"
 #include "proto/rows.pb-c.h"
-#include "slog.h"
 #include "stats.h"
 #include "turns.h"
-
-#define PROGRAMS_TABLE "aps-programs" /* budget rows and turns */
-#define TURNS_TABLE "aps-turns"	      /* turn -> program */
+#include "turns_int.h"
 
 enum {
-	PARTS = 16,	/* each commits one transaction after another */
-	KEY_BYTES = 16, /* of a hash */
-	KEY_LEN = 2 * KEY_BYTES + 1,
 	PIECE_BYTES = 45000, /* fits a row of 64 KiB in base64 */
 	RETRY_FIRST_MS = 15,
 	RETRY_MOST_MS = 250,
-	ROUNDS_MOST = 8, /* programs that one chain passes through */
 	IDLE_MS = 65000, /* a program that long idle leaves the memory */
 	SWEEP_MS = 10000,
 };
 
-/* What another incarnation may hand out. */
-struct cap {
-	uint64_t incarnation;
-	uint32_t tokens;
-};
-
-struct program {
-	struct trn *trn;
-	char key[KEY_LEN];
-	char part[4];
-	struct bgt bgt;
-	int64_t version; /* of the budget row; 0: there is none */
-	int64_t read_at; /* when the row was last known to be current */
-	GArray *others;	 /* of struct cap */
-	struct cds_list_head turns;
-	struct rst_call *write;
-	struct rst_call *read;
-	uint64_t writing_cap;
-	bool writing_row;
-	int64_t write_began;
-	struct event *retry;
-	int64_t retry_ms;
-	int64_t used_at;
-};
-
-struct trn {
-	struct event_base *base;
-	struct rst *store;
-	uint64_t incarnation;
-	GHashTable *programs;
-	struct hst *history;
-	struct event *sweep;
-};
-
-/* How far the history of a turn has been looked for. */
-enum load_state {
-	LOAD_NONE,
-	LOAD_PROGRAM, /* the rows of its own program are being read */
-	LOAD_SEARCH,  /* the index of each part is being read */
-	LOAD_OWNER,   /* the rows of another program are being read */
-	LOAD_DONE,
-};
-
-struct load {
-	struct trn_turn *turn;
-	struct rst_call *call;
-	char owner[KEY_LEN]; /* whose rows are read; "" for the index */
-};
-
-struct trn_turn {
-	struct cds_list_head node;
-	struct program *program;
-	char key[KEY_LEN];
-	char previous[KEY_LEN];
-	uint64_t budget;
-	uint64_t most;
-	int64_t began;
-	const struct trn_handler *handler;
-	void *arg;
-	GByteArray *history;
-	enum load_state load;
-	GPtrArray *loads; /* of struct load */
-	bool load_failed;
-	char found[KEY_LEN]; /* owner that the index named */
-	char missing[KEY_LEN];
-	int rounds;
-	bool decided;
-	bool waiting; /* for a raise of the cap */
-	bool opened;
-	bool granted;
-	bool closed;
-	GBytes *text; /* to be kept */
-	bool writing; /* in the transaction under way */
-	bool kept;
-};
-
-static void turn_step(struct trn_turn *turn);
 static void program_sync(struct program *program);
 
 /* Hashes what names a row: fixed length, nothing to escape, and a turn of
@@ -121,7 +37,7 @@
 	g_free(text);
 }
 
-static void part_of(const char *key, char *part)
+void trn_part_of(const char *key, char *part)
 {
 	part[0] = 'p';
 	part[1] = key[0];
@@ -159,7 +75,7 @@
 	program = g_new0(struct program, 1);
 	program->trn = trn;
 	g_strlcpy(program->key, key, KEY_LEN);
-	part_of(key, program->part);
+	trn_part_of(key, program->part);
 	program->others = g_array_new(FALSE, FALSE, sizeof(struct cap));
 	program->retry = evtimer_new(trn->base, on_retry, program);
 	CDS_INIT_LIST_HEAD(&program->turns);
@@ -220,8 +136,8 @@
 }
 
 /* Takes the budget row in; NULL: there is none. */
-static void take_budget(struct program *program, GBytes *value, int64_t version,
-			int64_t sent_at)
+void trn_take_budget(struct program *program, GBytes *value, int64_t version,
+		     int64_t sent_at)
 {
 	Rows__Program *row = NULL;
 	uint64_t own = 0;
@@ -255,7 +171,7 @@
 	program->read_at = sent_at;
 }
 
-static void verdict(struct trn_turn *turn, enum trn_verdict what)
+void trn_verdict_is(struct trn_turn *turn, enum trn_verdict what)
 {
 	turn->decided = true;
 	turn->waiting = false;
@@ -292,7 +208,7 @@
 	for (guint i = 0; i < waiting->len; i++) {
 		turn = g_ptr_array_index(waiting, i);
 		turn->waiting = false;
-		turn_step(turn);
+		trn_step(turn);
 	}
 	g_ptr_array_free(waiting, TRUE);
 }
@@ -305,7 +221,7 @@
 
 	cds_list_for_each_entry_safe(turn, next, &program->turns, node) {
 		if (!turn->decided && turn->waiting)
-			verdict(turn, TRN_UNAVAILABLE);
+			trn_verdict_is(turn, TRN_UNAVAILABLE);
 	}
 }
 
@@ -351,10 +267,10 @@
 		return;
 	program->version = 0;
 	if (budget != NULL)
-		take_budget(program, budget->value, budget->version,
-			    answer->sent_at);
+		trn_take_budget(program, budget->value, budget->version,
+				answer->sent_at);
 	else
-		take_budget(program, NULL, 0, answer->sent_at);
+		trn_take_budget(program, NULL, 0, answer->sent_at);
 }
 
 static void retry_later(struct program *program)
@@ -542,8 +458,8 @@
 	}
 	if (answer->rows->len > 0)
 		row = &g_array_index(answer->rows, struct rst_row, 0);
-	take_budget(program, row ? row->value : NULL, row ? row->version : 0,
-		    answer->sent_at);
+	trn_take_budget(program, row ? row->value : NULL,
+			row ? row->version : 0, answer->sent_at);
 	grant(program);
 	step_all(program);
 	program_sync(program);
@@ -587,7 +503,7 @@
 		break;
 	}
 	if (program->read_at >= turn->began) {
-		verdict(turn, TRN_SPENT);
+		trn_verdict_is(turn, TRN_SPENT);
 		return false;
 	}
 	turn->waiting = true;
@@ -595,216 +511,12 @@
 	return false;
 }
 
-static void load_free(gpointer p)
-{
-	struct load *load = p;
-
-	if (load->call != NULL)
-		rst_cancel(load->call);
-	g_free(load);
-}
-
-static void drop_loads(struct trn_turn *turn)
-{
-	g_ptr_array_set_size(turn->loads, 0);
-}
-
-static void load_end(struct load *load, bool ok);
-
-/* Puts the rows of a program's turns into the history. */
-static void take_turns(struct trn *trn, const GArray *rows)
-{
-	for (guint i = 0; i < rows->len; i++) {
-		const struct rst_row *row =
-			&g_array_index(rows, struct rst_row, i);
-		Rows__Turn *turn;
-		GByteArray *text;
-		GBytes *bytes;
-		gsize len;
-		const uint8_t *data;
-
-		if (strlen(row->key) != 2 * (KEY_LEN - 1) + 1 ||
-		    row->value == NULL)
-			continue;
-		data = g_bytes_get_data(row->value, &len);
-		turn = rows__turn__unpack(NULL, len, data);
-		if (turn == NULL || i + turn->pieces >= rows->len) {
-			if (turn != NULL)
-				rows__turn__free_unpacked(turn, NULL);
-			continue;
-		}
-		text = g_byte_array_new();
-		g_byte_array_append(text, turn->text.data,
-				    (guint)turn->text.len);
-		for (uint32_t k = 1; k <= turn->pieces; k++) {
-			const struct rst_row *piece =
-				&g_array_index(rows, struct rst_row, i + k);
-
-			data = g_bytes_get_data(piece->value, &len);
-			g_byte_array_append(text, data, (guint)len);
-		}
-		bytes = g_byte_array_free_to_bytes(text);
-		hst_put(trn->history, row->key + KEY_LEN, turn->previous,
-			bytes);
-		g_bytes_unref(bytes);
-		rows__turn__free_unpacked(turn, NULL);
-	}
-}
-
-static void read_rows_of(struct load *load, const char *from);
-
-static void on_program_rows(void *arg, const struct rst_answer *answer)
-{
-	struct load *load = arg;
-	struct program *program = load->turn->program;
-
-	load->call = NULL;
-	if (answer->result != RST_OK) {
-		load_end(load, false);
-		return;
-	}
-	take_turns(program->trn, answer->rows);
-	if (strcmp(load->owner, program->key) == 0 && answer->rows->len > 0) {
-		const struct rst_row *row =
-			&g_array_index(answer->rows, struct rst_row, 0);
-
-		if (strcmp(row->key, program->key) == 0)
-			take_budget(program, row->value, row->version,
-				    answer->sent_at);
-	}
-	if (answer->more && answer->rows->len > 0) {
-		const struct rst_row *row = &g_array_index(
-			answer->rows, struct rst_row, answer->rows->len - 1);
-
-		read_rows_of(load, row->key);
-		return;
-	}
-	load_end(load, true);
-}
-
-static void read_rows_of(struct load *load, const char *from)
-{
-	char to[KEY_LEN + 2];
-	char part[4];
-
-	part_of(load->owner, part);
-	g_snprintf(to, sizeof(to), "%s0", load->owner);
-	load->call = rst_get(load->turn->program->trn->store, PROGRAMS_TABLE,
-			     part, from, to, on_program_rows, load);
-}
-
-static void on_index(void *arg, const struct rst_answer *answer)
-{
-	struct load *load = arg;
-
-	load->call = NULL;
-	if (answer->result == RST_OK && answer->rows->len > 0) {
-		const struct rst_row *row =
-			&g_array_index(answer->rows, struct rst_row, 0);
-		gsize len;
-		const char *owner = g_bytes_get_data(row->value, &len);
-
-		if (len == KEY_LEN - 1)
-			memcpy(load->turn->found, owner, len);
-	}
-	load_end(load, answer->result == RST_OK);
-}
-
-static struct load *load_add(struct trn_turn *turn, const char *owner)
-{
-	struct load *load = g_new0(struct load, 1);
-
-	load->turn = turn;
-	g_strlcpy(load->owner, owner, KEY_LEN);
-	g_ptr_array_add(turn->loads, load);
-	return load;
-}
-
-static void search_index(struct trn_turn *turn)
-{
-	char to[KEY_LEN + 2];
-
-	turn->load = LOAD_SEARCH;
-	memset(turn->found, 0, KEY_LEN);
-	g_snprintf(to, sizeof(to), "%s!", turn->missing);
-	for (int i = 0; i < PARTS; i++) {
-		struct load *load = load_add(turn, "");
-		char part[4] = {'p', "0123456789abcdef"[i], '\0'};
-
-		load->call = rst_get(turn->program->trn->store, TURNS_TABLE,
-				     part, turn->missing, to, on_index, load);
-	}
-}
-
-/* All that was being read is there. */
-static void loads_done(struct trn_turn *turn)
-{
-	if (turn->load_failed && turn->found[0] == '\0') {
-		verdict(turn, TRN_UNAVAILABLE);
-		return;
-	}
-	turn->load_failed = false;
-	if (turn->load == LOAD_SEARCH) {
-		if (turn->found[0] == '\0') {
-			verdict(turn, TRN_NO_TURN);
-			return;
-		}
-		turn->load = LOAD_OWNER;
-		read_rows_of(load_add(turn, turn->found), turn->found);
-		return;
-	}
-	turn_step(turn);
-}
-
-static void load_end(struct load *load, bool ok)
-{
-	struct trn_turn *turn = load->turn;
-
-	turn->load_failed |= !ok;
-	g_ptr_array_remove_fast(turn->loads, load);
-	if (turn->loads->len == 0)
-		loads_done(turn);
-}
-
-/* Returns true once the history is at hand. */
-static bool history_step(struct trn_turn *turn)
-{
-	char *missing;
-
-	g_byte_array_set_size(turn->history, 0);
-	missing = hst_join(turn->program->trn->history, turn->previous,
-			   turn->history);
-	if (missing == NULL) {
-		turn->load = LOAD_DONE;
-		return true;
-	}
-	if (turn->load == LOAD_OWNER && (strcmp(missing, turn->missing) == 0 ||
-					 ++turn->rounds > ROUNDS_MOST)) {
-		slog("history_broken", NULL, "\"turn\":%s",
-		     slog_quote(missing));
-		g_free(missing);
-		verdict(turn, TRN_UNAVAILABLE);
-		return false;
-	}
-	g_strlcpy(turn->missing, missing, KEY_LEN);
-	g_free(missing);
-	memset(turn->found, 0, KEY_LEN);
-	if (turn->load == LOAD_NONE) {
-		turn->load = LOAD_PROGRAM;
-		read_rows_of(load_add(turn, turn->program->key),
-			     turn->program->key);
-	} else {
-		search_index(turn);
-	}
-	return false;
-}
-
-static void turn_step(struct trn_turn *turn)
+void trn_step(struct trn_turn *turn)
 {
 	if (turn->decided)
 		return;
 	if (turn->previous[0] != '\0' && turn->load != LOAD_DONE &&
-	    !history_step(turn))
+	    !trn_load_history(turn))
 		return;
 	if (turn->budget > 0 && !turn->opened && !budget_step(turn))
 		return;
@@ -840,17 +552,17 @@
 	turn->handler = handler;
 	turn->arg = arg;
 	turn->history = g_byte_array_new();
-	turn->loads = g_ptr_array_new_with_free_func(load_free);
+	turn->loads = g_ptr_array_new_with_free_func(trn_load_free);
 	cds_list_add_tail(&turn->node, &turn->program->turns);
 	*slot = turn;
 	if (!rst_healthy(trn->store, turn->program->part) &&
 	    (request->retain ||
 	     (turn->budget > 0 && bgt_decide(&turn->program->bgt, turn->budget,
 					     turn->most) != BGT_GO))) {
-		verdict(turn, TRN_UNAVAILABLE);
+		trn_verdict_is(turn, TRN_UNAVAILABLE);
 		return;
 	}
-	turn_step(turn);
+	trn_step(turn);
 }
 
 static void close_budget(struct trn_turn *turn, uint64_t used)
@@ -872,7 +584,7 @@
 	close_budget(turn, used);
 	turn->program->used_at = clock_boot_ms();
 	cds_list_del(&turn->node);
-	drop_loads(turn);
+	trn_drop_loads(turn);
 	g_ptr_array_free(turn->loads, TRUE);
 	g_byte_array_unref(turn->history);
 	if (turn->text != NULL)
--- /dev/null
+++ b/serve/turns_int.h
@@ -0,0 +1,124 @@
+/**
+ * @file turns_int.h
+ * @brief What the files of turns share; nobody else includes it.
+ *
+ * turns.c decides about turns and writes rows; turns_load.c reads history.
+ */
+#ifndef APS_TURNS_INT_H
+#define APS_TURNS_INT_H
+
+#include <urcu/list.h>
+
+#include "decide/budget.h"
+#include "decide/history.h"
+#include "turns.h"
+
+/** Budget rows, and the rows of turns. */
+#define PROGRAMS_TABLE "aps-programs"
+/** From a turn to its program. */
+#define TURNS_TABLE "aps-turns"
+
+enum {
+	PARTS = 16,	/**< each commits one transaction after another */
+	KEY_BYTES = 16, /**< of a hash */
+	KEY_LEN = 2 * KEY_BYTES + 1,
+};
+
+/** What another incarnation may hand out. */
+struct cap {
+	uint64_t incarnation;
+	uint32_t tokens;
+};
+
+/** The rows of one program, as they are known here. */
+struct program {
+	struct trn *trn;
+	char key[KEY_LEN];
+	char part[4];
+	struct bgt bgt;
+	int64_t version; /* of the budget row; 0: there is none */
+	int64_t read_at; /* when the row was last known to be current */
+	GArray *others;	 /* of struct cap */
+	struct cds_list_head turns;
+	struct rst_call *write;
+	struct rst_call *read;
+	uint64_t writing_cap;
+	bool writing_row;
+	int64_t write_began;
+	struct event *retry;
+	int64_t retry_ms;
+	int64_t used_at;
+};
+
+/** All programs at hand. */
+struct trn {
+	struct event_base *base;
+	struct rst *store;
+	uint64_t incarnation;
+	GHashTable *programs;
+	struct hst *history;
+	struct event *sweep;
+};
+
+/** How far the history of a turn has been looked for. */
+enum load_state {
+	LOAD_NONE,
+	LOAD_PROGRAM, /* the rows of its own program are being read */
+	LOAD_SEARCH,  /* the index of each part is being read */
+	LOAD_OWNER,   /* the rows of another program are being read */
+	LOAD_DONE,
+};
+
+/** One read under way. */
+struct load {
+	struct trn_turn *turn;
+	struct rst_call *call;
+	char owner[KEY_LEN]; /* whose rows are read; "" for the index */
+};
+
+/** One turn under way. */
+struct trn_turn {
+	struct cds_list_head node;
+	struct program *program;
+	char key[KEY_LEN];
+	char previous[KEY_LEN];
+	uint64_t budget;
+	uint64_t most;
+	int64_t began;
+	const struct trn_handler *handler;
+	void *arg;
+	GByteArray *history;
+	enum load_state load;
+	GPtrArray *loads; /* of struct load */
+	bool load_failed;
+	char found[KEY_LEN]; /* owner that the index named */
+	char missing[KEY_LEN];
+	int rounds;
+	bool decided;
+	bool waiting; /* for a raise of the cap */
+	bool opened;
+	bool granted;
+	bool closed;
+	GBytes *text; /* to be kept */
+	bool writing; /* in the transaction under way */
+	bool kept;
+};
+
+/** The part that holds the rows of a key: four bytes. */
+void trn_part_of(const char *key, char *part);
+/** Decides about a turn, as far as that is possible now. */
+void trn_step(struct trn_turn *turn);
+/** Tells the caller; the turn may be gone afterwards. */
+void trn_verdict_is(struct trn_turn *turn, enum trn_verdict what);
+/** Takes the budget row in; NULL: there is none. */
+void trn_take_budget(struct program *program, GBytes *value, int64_t version,
+		     int64_t sent_at);
+
+/** Looks for a turn's history; returns true once it is at hand. */
+bool trn_load_history(struct trn_turn *turn);
+/** Ends all reads of a turn. */
+void trn_drop_loads(struct trn_turn *turn);
+/** Frees a struct load. */
+void trn_load_free(gpointer p);
+
+#endif
