A turn that no budget holds is refused at once; the story of a request; log checks

Cause: test_every_request_has_its_last_line showed a turn with a budget below its most tokens waiting for its whole deadline (2 s, then 503): an unread row counted as room, so the turn waited for a write that never came.

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 $(B)/slopes: $(CORE) $(call obj,$(SIM) test/standins/model.c bench/slopes.c)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(B)/unit/%: $(CORE) $(B)/obj/test/unit/%.o $(call obj,$(PLATFORM) $(FAKES) $(filter-out serve/http.c serve/loop.c serve/outbound.c,$(SERVE)))
+$(B)/unit/%: $(CORE) $(B)/obj/test/unit/%.o $(call obj,apricotshift/story.c $(PLATFORM) $(FAKES) $(filter-out serve/http.c serve/loop.c serve/outbound.c,$(SERVE)))
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 
--- a/apricotshift/cmd_rules.c
+++ b/apricotshift/cmd_rules.c
@@ -10,6 +10,7 @@
 #include "cmd.h"
 #include "decide/rules.h"
 #include "options.h"
+#include "story.h"
 #include "table/revision.h"
 #include "table/tableclient.h"
 
@@ -369,9 +370,13 @@
 	int status = CMD_FAILED;
 	int line = 0;
 
-	if (!opt_parse(&argc, &argv, entries, 1, "explain -p URL REV:LINE") ||
-	    platform == NULL ||
-	    sscanf(argv[1], "%" SCNu64 ":%d", &revision, &line) != 2)
+	if (!opt_parse(&argc, &argv, entries, 1,
+		       "explain -p URL REV:LINE | explain REQUEST <LOG"))
+		return CMD_USAGE;
+	if (platform == NULL)
+		return sto_print(stdin, argv[1], stdout) > 0 ? CMD_OK
+							     : CMD_FAULTS;
+	if (sscanf(argv[1], "%" SCNu64 ":%d", &revision, &line) != 2)
 		return CMD_USAGE;
 	read = read_revision(platform, revision);
 	if (read.row != NULL)
--- /dev/null
+++ b/apricotshift/story.c
@@ -0,0 +1,93 @@
+/** @file story.c @brief The story of one request, from logs. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <json-c/json.h>
+
+#include "story.h"
+
+struct line {
+	int64_t t;
+	json_object *object;
+};
+
+static void line_clear(gpointer p)
+{
+	struct line *line = p;
+
+	json_object_put(line->object);
+}
+
+static const char *text(json_object *object, const char *name)
+{
+	json_object *value;
+
+	return json_object_object_get_ex(object, name, &value)
+		       ? json_object_get_string(value)
+		       : "";
+}
+
+/* Keeps a line if it is about @p request. Collectors often put a prefix. */
+static void take(GArray *lines, const char *raw, const char *request)
+{
+	const char *start = strchr(raw, '{');
+	json_object *object;
+	json_object *t;
+	struct line line;
+
+	if (start == NULL || strstr(start, request) == NULL)
+		return;
+	object = json_tokener_parse(start);
+	if (strcmp(text(object, "request"), request) != 0 ||
+	    !json_object_object_get_ex(object, "t", &t)) {
+		json_object_put(object);
+		return;
+	}
+	line.t = json_object_get_int64(t);
+	line.object = object;
+	g_array_append_val(lines, line);
+}
+
+static gint by_time(gconstpointer a, gconstpointer b)
+{
+	const struct line *x = a;
+	const struct line *y = b;
+
+	return (x->t > y->t) - (x->t < y->t);
+}
+
+static void print_line(const struct line *line, int64_t from, FILE *out)
+{
+	fprintf(out, "%+6" G_GINT64_FORMAT " ms  %-12s %s", line->t - from,
+		text(line->object, "event"), text(line->object, "instance"));
+	json_object_object_foreach(line->object, name, value)
+	{
+		if (strcmp(name, "t") == 0 || strcmp(name, "event") == 0 ||
+		    strcmp(name, "instance") == 0 ||
+		    strcmp(name, "request") == 0)
+			continue;
+		fprintf(out, " %s=%s", name, json_object_get_string(value));
+	}
+	fputc('\n', out);
+}
+
+unsigned int sto_print(FILE *log, const char *request, FILE *out)
+{
+	GArray *lines = g_array_new(FALSE, FALSE, sizeof(struct line));
+	unsigned int found;
+	char *raw = NULL;
+	size_t size = 0;
+
+	g_array_set_clear_func(lines, line_clear);
+	while (getline(&raw, &size, log) > 0)
+		take(lines, raw, request);
+	free(raw);
+	g_array_sort(lines, by_time);
+	found = lines->len;
+	for (guint i = 0; i < found; i++)
+		print_line(&g_array_index(lines, struct line, i),
+			   g_array_index(lines, struct line, 0).t, out);
+	g_array_free(lines, TRUE);
+	return found;
+}
--- /dev/null
+++ b/apricotshift/story.h
@@ -0,0 +1,20 @@
+/**
+ * @file story.h
+ * @brief The story of one request, from the logs of all instances.
+ */
+#ifndef APS_STORY_H
+#define APS_STORY_H
+
+#include <stdio.h>
+
+/**
+ * Prints the lines about a request, in order of time.
+ *
+ * Takes whole lines of the structured log, from any number of instances in
+ * any order; other lines are passed over.
+ *
+ * @return how many lines were found
+ */
+unsigned int sto_print(FILE *log, const char *request, FILE *out);
+
+#endif
--- a/decide/budget.c
+++ b/decide/budget.c
@@ -20,7 +20,8 @@
 {
 	if (bgt->spent + bgt->open + most <= bgt->cap)
 		return BGT_GO;
-	if (!bgt->known || holds(bgt, budget, most, most))
+	/* A row that is not known can only make less of the budget left. */
+	if (holds(bgt, budget, most, most))
 		return BGT_RAISE;
 	return BGT_SPENT;
 }
--- a/test/unit/test_budget.c
+++ b/test/unit/test_budget.c
@@ -218,6 +218,8 @@
 	(void)state;
 	assert_int_equal(bgt_decide(&bgt, BUDGET, MOST), BGT_RAISE);
 	assert_false(bgt_ample(&bgt, BUDGET, MOST));
+	/* A turn that no budget holds needs no row to be refused. */
+	assert_int_equal(bgt_decide(&bgt, MOST - 1, MOST), BGT_SPENT);
 	bgt.known = true;
 	assert_true(bgt_ample(&bgt, BUDGET, MOST));
 	bgt.others = BUDGET - 2 * MOST;
--- a/test/unit/test_gateway.c
+++ b/test/unit/test_gateway.c
@@ -26,6 +26,7 @@
 #include "test/standins/backend.h"
 #include "test/standins/rowstore.h"
 
+#define LOG "build/test_gateway.log"
 #define STORE "127.0.0.1:18400"
 #define ENGINE_1 "127.0.0.1:18401"
 #define ENGINE_2 "127.0.0.1:18402"
@@ -461,6 +462,7 @@
 static void test_budget_over_instances(void **state)
 {
 	struct got got;
+	int64_t began;
 	int served = 0;
 
 	(void)state;
@@ -479,6 +481,15 @@
 	}
 	assert_int_equal(sbe_runs(w.engines[0])->len, served);
 	assert_in_range(served, 3, 7);
+	/* A budget that holds no turn at all is said at once. */
+	began = clock_boot_ms();
+	call(&got, 0, "/free/turn",
+	     KEY "Program-Id: z\r\nToken-Usage: 1,60\r\n"
+		 "Request-Id: c1\r\nToken-Budget: 10\r\n",
+	     "x");
+	assert_int_equal(got.status, 402);
+	assert_in_range(clock_boot_ms() - began, 0, 300);
+	got_clear(&got);
 }
 
 static void test_stream_goes_on_elsewhere(void **state)
@@ -706,6 +717,66 @@
 	assert_true(gw_stopped(w.gateways[0]));
 }
 
+/* How many lines of the log name @p request as refused or ended. */
+static int final_lines(const char *log, const char *request)
+{
+	char *name = g_strdup_printf("\"request\":\"%s\"", request);
+	char **lines = g_strsplit(log, "\n", -1);
+	int count = 0;
+
+	for (char **line = lines; *line != NULL; line++)
+		count += strstr(*line, name) != NULL &&
+			 (strstr(*line, "\"event\":\"refused\"") != NULL ||
+			  strstr(*line, "\"event\":\"ended\"") != NULL);
+	g_strfreev(lines);
+	g_free(name);
+	return count;
+}
+
+/* Every request has exactly one line that says how it ended and why, and no
+ * key stands in the log. */
+static void test_every_request_has_its_last_line(void **state)
+{
+	static const struct {
+		enum sbe_mode mode;
+		const char *path;
+		const char *headers;
+	} cases[] = {
+		{SBE_OK, "/order/1", KEY "Request-Id: z0\r\n"},
+		{SBE_OK, "/order/1", "Request-Id: z1\r\n"},
+		{SBE_OK, "/nowhere/1", KEY "Request-Id: z2\r\n"},
+		{SBE_RESETS, "/order/1", KEY "Request-Id: z3\r\n"},
+		{SBE_REFUSES, "/order/1", KEY "Request-Id: z4\r\n"},
+		{SBE_SILENT, "/order/1", KEY "Request-Id: z5\r\n"},
+		{SBE_OK, "/kept/turn",
+		 KEY TURN "Request-Id: z6\r\nPrevious-Turn: none\r\n"},
+		{SBE_OK, "/free/turn",
+		 KEY TURN "Request-Id: z7\r\nToken-Budget: 10\r\n"},
+	};
+	char *log;
+	gsize len;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct got got;
+
+		sbe_set_mode(w.services[0], cases[i].mode);
+		call(&got, 0, cases[i].path, cases[i].headers, "x");
+		got_clear(&got);
+	}
+	slog_flush();
+	assert_true(g_file_get_contents(LOG, &log, &len, NULL));
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char id[8];
+
+		g_snprintf(id, sizeof(id), "z%zu", i);
+		assert_int_equal(final_lines(log, id), 1);
+	}
+	assert_null(strstr(log, "key-1"));
+	assert_null(strstr(log, "key-2"));
+	g_free(log);
+}
+
 #define CASE(test) cmocka_unit_test_setup_teardown(test, set_up, tear_down)
 
 int main(void)
@@ -728,9 +799,10 @@
 		CASE(test_caller_that_leaves_ends_the_run),
 		CASE(test_quota_over_instances),
 		CASE(test_graceful_stop),
+		CASE(test_every_request_has_its_last_line),
 	};
 
-	if (sodium_init() < 0 || freopen("/dev/null", "w", stdout) == NULL)
+	if (sodium_init() < 0 || freopen(LOG, "w", stdout) == NULL)
 		return 1;
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
