Hopeless waits are refused at once; removals after an outage have a test

The time to the first token is known and used now. test_hopeless_request_is_refused_at_once failed before ('0 != 0x1'); test_removal_after_an_outage fails with the old count of the two seconds.

--- a/serve/admission.c
+++ b/serve/admission.c
@@ -123,9 +123,11 @@
 	return NULL;
 }
 
-/* Lets in whom it can, in order; @p next_ms receives when to look again. */
-static void admit(struct queue *queue, bool begins, int64_t now,
-		  int64_t *next_ms)
+/*
+ * Lets in whom it can, in order. Returns when the first of those that are
+ * left will have its token, in ms from now.
+ */
+static int64_t admit(struct queue *queue, bool begins, int64_t now)
 {
 	struct adm_wait *wait;
 
@@ -133,17 +135,14 @@
 		int64_t wait_ms;
 
 		if (qta_take(queue->adm->quota, queue->account, &wait->limit,
-			     wait->begins, now, &wait_ms)) {
+			     wait->begins, now, &wait_ms))
 			decide(wait, true, 0);
-			continue;
-		}
-		if (now >= wait->expires_at) {
+		else if (now >= wait->expires_at)
 			decide(wait, false, wait_ms);
-			continue;
-		}
-		*next_ms = MIN(*next_ms, MIN(wait_ms, wait->expires_at - now));
-		return;
+		else
+			return wait_ms;
 	}
+	return G_MAXINT32;
 }
 
 static void ask_lender(struct queue *queue, int64_t now)
@@ -166,24 +165,25 @@
 		   queue->waiting + WANTED_SPARE, queue->serial);
 }
 
-/* Nobody lends: who can't be let in before its time is refused at once. */
-static void refuse_hopeless(struct queue *queue, int64_t now)
+/*
+ * Nobody lends: who can't be let in before its time is refused at once.
+ * @p first_ms is when the first of its kind has its token.
+ */
+static void refuse_hopeless(struct queue *queue, bool begins, int64_t first_ms,
+			    int64_t now)
 {
 	struct adm_wait *wait = NULL;
 	struct adm_wait *next = NULL;
-	double at = 0;
+	double at = (double)first_ms;
 
 	cds_list_for_each_entry_safe(wait, next, &queue->waits, node) {
-		double interval = qta_interval_ms(queue->adm->quota,
-						  queue->account, &wait->limit);
-
-		if (wait->begins)
+		if (wait->begins != begins)
 			continue;
-		at += interval;
-		if (at > (double)(wait->expires_at - now) + interval) {
-			at -= interval;
-			decide(wait, false, (int64_t)at + 1);
-		}
+		if (at > (double)(wait->expires_at - now))
+			decide(wait, false, (int64_t)at);
+		else
+			at += qta_interval_ms(queue->adm->quota, queue->account,
+					      &wait->limit);
 	}
 }
 
@@ -202,21 +202,22 @@
 static void serve(struct queue *queue)
 {
 	int64_t now = clock_boot_ms();
-	int64_t next_ms = G_MAXINT64;
+	int64_t ongoing_ms = admit(queue, false, now);
+	int64_t begins_ms = admit(queue, true, now);
 
-	admit(queue, false, now, &next_ms);
-	admit(queue, true, now, &next_ms);
 	if (!cds_list_empty(&queue->waits)) {
 		ask_lender(queue, now);
-		if (queue->asked_at == 0)
-			refuse_hopeless(queue, now);
+		if (queue->asked_at == 0) {
+			refuse_hopeless(queue, false, ongoing_ms, now);
+			refuse_hopeless(queue, true, begins_ms, now);
+		}
 	}
 	if (cds_list_empty(&queue->waits)) {
 		g_ptr_array_set_size(queue->asked, 0);
 		event_del(queue->timer);
 		return;
 	}
-	look_again_in(queue, next_ms);
+	look_again_in(queue, MIN(ongoing_ms, begins_ms));
 }
 
 struct adm_wait *adm_ask(struct adm *adm, const char *account,
--- a/test/standins/rowstore.c
+++ b/test/standins/rowstore.c
@@ -387,6 +387,12 @@
 void srs_set_mode(struct srs *srs, enum srs_mode mode)
 {
 	srs->mode = mode;
+	while (mode == SRS_BUSY && srs->feeds->len > 0) {
+		struct feed *feed = g_ptr_array_index(srs->feeds, 0);
+
+		in_reply(feed->request, 503, "", NULL, 0);
+		g_ptr_array_remove_index_fast(srs->feeds, 0);
+	}
 }
 
 void srs_put(struct srs *srs, const char *table, const char *part,
--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -99,6 +99,29 @@
 	tear_down(&w);
 }
 
+/* Who can't have a token in time is told at once, not when its time is over. */
+static void test_hopeless_request_is_refused_at_once(void **state)
+{
+	struct world w = set_up();
+	struct qta_limit limit = {1, 1, 0};
+	struct verdict first = {0};
+	struct verdict second = {0};
+	struct verdict third = {0};
+
+	(void)state;
+	adm_ask(w.adm, "a", &limit, false, 500, on_decided, &first);
+	adm_ask(w.adm, "a", &limit, false, 500, on_decided, &second);
+	adm_ask(w.adm, "a", &limit, true, 500, on_decided, &third);
+	run(&w, 50);
+	assert_true(first.admitted);
+	assert_int_equal(second.calls, 1);
+	assert_false(second.admitted);
+	assert_in_range(second.wait_ms, 900, 1100);
+	assert_int_equal(third.calls, 1);
+	assert_false(third.admitted);
+	tear_down(&w);
+}
+
 static void test_cancelled_wait_gets_no_verdict(void **state)
 {
 	struct world w = set_up();
@@ -119,6 +142,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_verdict_or_wait),
 		cmocka_unit_test(test_early_request_waits_for_its_token),
+		cmocka_unit_test(test_hopeless_request_is_refused_at_once),
 		cmocka_unit_test(test_cancelled_wait_gets_no_verdict),
 	};
 
--- a/test/unit/test_gateway.c
+++ b/test/unit/test_gateway.c
@@ -655,6 +655,28 @@
 	got_clear(&got);
 }
 
+/* Entries that lapse in an outage come back within two seconds of its end. One
+ * that is still missing then is gone, however late it was removed. */
+static void test_removal_after_an_outage(void **state)
+{
+	struct got got;
+
+	(void)state;
+	srs_set_mode(w.store, SRS_BUSY);
+	run_until(NULL, 600);
+	srs_set_mode(w.store, SRS_OK);
+	run_until(NULL, 1000);
+	srs_put(w.store, "servers", "", "s1", NULL);
+	run_until(NULL, 100);
+	call(&got, 0, "/order/1", KEY "Request-Id: v1\r\n", "x");
+	assert_int_equal(got.status, 200);
+	got_clear(&got);
+	run_until(NULL, 1200);
+	call(&got, 0, "/order/1", KEY "Request-Id: v2\r\n", "x");
+	assert_int_equal(got.status, 503);
+	got_clear(&got);
+}
+
 static void test_caller_that_leaves_ends_the_run(void **state)
 {
 	struct got got;
@@ -796,6 +818,7 @@
 		CASE(test_store_away_is_said_at_once),
 		CASE(test_withdrawn_key_and_lost_history),
 		CASE(test_leaving_servers_and_zones),
+		CASE(test_removal_after_an_outage),
 		CASE(test_caller_that_leaves_ends_the_run),
 		CASE(test_quota_over_instances),
 		CASE(test_graceful_stop),
