--- a/Makefile
+++ b/Makefile
@@ -55,15 +55,24 @@
 # The parsers under a fuzzer, and again over what it found.
 FUZZED = decide/rules.c proto/apricot.pb-c.c serve/http_parse.c serve/log.c \
 	serve/peer.c serve/settings.c serve/sse.c test/fuzz/fuzz.c
+FUZZED_GATEWAY = decide/catalog.c platform/wire.c proto/rows.pb-c.c \
+	serve/events.c serve/hdr.c test/fuzz/fuzz_gateway.c
 fuzz:
 	mkdir -p build
 	clang -g -O1 $(filter-out -fsanitize=%,$(CFLAGS)) \
 		-fsanitize=fuzzer,address,undefined -o build/fuzz $(FUZZED) $(LDLIBS)
+	clang -g -O1 $(filter-out -fsanitize=%,$(CFLAGS)) \
+		-fsanitize=fuzzer,address,undefined -o build/fuzz-gateway \
+		$(FUZZED_GATEWAY) $(LDLIBS)
 
 $(B)/replay: $(FUZZED)
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -DREPLAY $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
+$(B)/replay-gateway: $(FUZZED_GATEWAY)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -DREPLAY $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
 generate:
 	cd proto && protoc-c --c_out=. apricot.proto rows.proto
 
@@ -78,5 +87,5 @@
 check:
 	./test/run.sh
 
-unit: $(B)/replay
+unit: $(B)/replay $(B)/replay-gateway
 .PHONY: fuzz all unit demo check clean generate
--- /dev/null
+++ b/test/fuzz/fuzz_gateway.c
@@ -0,0 +1,142 @@
+/**
+ * @file fuzz_gateway.c
+ * @brief Feeds the gateway's parsers: the first byte chooses one.
+ *
+ * Built with -fsanitize=fuzzer by `make fuzz`; without it, `replay-gateway
+ * FILE...` runs what is in the corpus, in CI.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include <json-c/json.h>
+
+#include "platform/wire.h"
+#include "proto/rows.pb-c.h"
+#include "serve/events.h"
+#include "serve/hdr.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void fuzz_catalog(const char *text, size_t len)
+{
+	char *fault = NULL;
+	struct cat *cat = wire_read_catalog(text, len, &fault);
+
+	if (cat != NULL) {
+		const struct cat_route *route =
+			cat_find_route(cat, "h.example", "/p/x");
+
+		if (route != NULL)
+			cat_choose(cat, route, 7);
+		cat_find_key(cat, "k1");
+	}
+	cat_unref(cat);
+	g_free(fault);
+}
+
+static void fuzz_server(const char *text, size_t len)
+{
+	struct flt_entry entry;
+	json_object *root = NULL;
+
+	wire_read_server("i", text, len, &entry, &root);
+	json_object_put(root);
+}
+
+static void on_event(void *arg, const struct evt *event)
+{
+	size_t *bytes = arg;
+
+	*bytes += event->raw_len;
+}
+
+/* However a stream is cut into pieces, no byte of it is lost. */
+static void fuzz_events(const char *text, size_t len)
+{
+	struct evt_splitter *splitter = evt_create();
+	size_t bytes = 0;
+
+	for (size_t i = 0; i < len; i += 3)
+		evt_feed(splitter, text + i, MIN(3, len - i), on_event, &bytes);
+	if (bytes + evt_left(splitter) != len)
+		__builtin_trap();
+	evt_destroy(splitter);
+}
+
+/* Lines of "name:value" are the header of a request. */
+static void fuzz_call(const char *text, size_t len)
+{
+	struct in_request request = {
+		.method = "POST", .target = "/p/x", .headers = hdr_create()};
+	struct forward forward = {.server = "i", .last_event = -1};
+	GArray *headers = (GArray *)request.headers;
+	char **lines = g_strsplit(text, "\n", 64);
+	struct call call;
+
+	(void)len;
+	for (char **line = lines; *line != NULL; line++) {
+		size_t name = strcspn(*line, ":");
+
+		hdr_name_piece(headers, *line, name);
+		hdr_value_piece(headers, *line + name, strlen(*line + name));
+	}
+	if (wire_read_call(&request, &call))
+		g_string_free(wire_write_call(&request, &forward, 1), TRUE);
+	g_strfreev(lines);
+	g_array_unref(headers);
+}
+
+static void fuzz_datagram(const uint8_t *data, size_t size)
+{
+	Rows__Datagram *datagram = rows__datagram__unpack(NULL, size, data);
+	Rows__Turn *turn = rows__turn__unpack(NULL, size, data);
+
+	if (datagram != NULL)
+		rows__datagram__free_unpacked(datagram, NULL);
+	if (turn != NULL)
+		rows__turn__free_unpacked(turn, NULL);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	char *text;
+
+	if (size < 1)
+		return 0;
+	text = g_strndup((const char *)data + 1, size - 1);
+	switch (data[0] % 5) {
+	case 0:
+		fuzz_catalog(text, strlen(text));
+		break;
+	case 1:
+		fuzz_server(text, strlen(text));
+		break;
+	case 2:
+		fuzz_events(text, strlen(text));
+		break;
+	case 3:
+		fuzz_call(text, strlen(text));
+		break;
+	default:
+		fuzz_datagram(data + 1, size - 1);
+	}
+	g_free(text);
+	return 0;
+}
+
+#ifdef REPLAY
+int main(int argc, char **argv)
+{
+	for (int i = 1; i < argc; i++) {
+		char *data = NULL;
+		gsize size = 0;
+
+		if (!g_file_get_contents(argv[i], &data, &size, NULL))
+			return 1;
+		LLVMFuzzerTestOneInput((const uint8_t *)data, size);
+		g_free(data);
+	}
+	printf("fuzz: %d passed, 0 failed\n", argc - 1);
+	return 0;
+}
+#endif
--- a/test/run.sh
+++ b/test/run.sh
@@ -30,6 +30,7 @@
 step "unit tests, with sanitizers"
 for t in build-san/unit/test_*[a-z]; do "$t"; done
 build-san/replay test/fuzz/corpus/*
+build-san/replay-gateway test/fuzz/gateway/*
 
 step "scenarios, with sanitizers"
 build-san/scenario test/scenarios/*.scn
