Calls to the store go through another instance where the way is lost

A call that goes through another instance is the same call: the store's versions, conditions and answer; its age counts from the first sender. Ruled out: carrying only the configuration (turns need rows too); trusting the other instance's copy (its age would be its own claim). Test: test_store_through_another_instance; it failed while the other instance's configuration was asked to be younger than it ever is (1.8 s), and passes with 2.6 s.

--- a/proto/rows.pb-c.c
+++ b/proto/rows.pb-c.c
@@ -610,7 +610,7 @@
   (ProtobufCMessageInit) rows__turn__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rows__member__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rows__member__field_descriptors[5] =
 {
   {
     "address",
@@ -660,17 +660,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relay",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Member, relay),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rows__member__field_indices_by_name[] = {
   0,   /* field[0] = address */
   3,   /* field[3] = beat */
   2,   /* field[2] = incarnation */
+  4,   /* field[4] = relay */
   1,   /* field[1] = zone */
 };
 static const ProtobufCIntRange rows__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor rows__member__descriptor =
 {
@@ -680,7 +693,7 @@
   "Rows__Member",
   "rows",
   sizeof(Rows__Member),
-  4,
+  5,
   rows__member__field_descriptors,
   rows__member__field_indices_by_name,
   1,  rows__member__number_ranges,
--- a/proto/rows.pb-c.h
+++ b/proto/rows.pb-c.h
@@ -98,10 +98,14 @@
    * changes with each renewal
    */
   uint32_t beat;
+  /*
+   * HOST:PORT for calls to the store
+   */
+  char *relay;
 };
 #define ROWS__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rows__member__descriptor) \
-    , NULL, NULL, 0, 0 }
+    , NULL, NULL, 0, 0, NULL }
 
 
 /*
--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -9,6 +9,7 @@
 #include "clock.h"
 #include "exchange.h"
 #include "gateway.h"
+#include "platform/relay.h"
 #include "settings.h"
 #include "slog.h"
 #include "stats.h"
@@ -33,6 +34,7 @@
 	FIELD(callers, SET_ADDRESS, true, 0, 0, 0),
 	FIELD(ready, SET_ADDRESS, true, 0, 0, 0),
 	FIELD(peers, SET_ADDRESS, true, 0, 0, 0),
+	FIELD(relay, SET_ADDRESS, false, 0, 0, 0),
 	FIELD(metrics, SET_ADDRESS, false, 0, 0, 0),
 	FIELD(store, SET_ADDRESS, true, 0, 0, 0),
 	FIELD(grace_s, SET_NUMBER, false, 8, 1, 3600),
@@ -49,6 +51,7 @@
 	struct in *callers;
 	struct in *ready;
 	struct in *metrics;
+	struct rly *relay;
 	struct event *signals[3];
 	struct event *tick;
 	int64_t stop_at; /* when SIGTERM came; 0: it has not */
@@ -187,6 +190,14 @@
 	adm_lent(gw->shared.admission, account, granted, serial);
 }
 
+static const char *find_relay(void *arg)
+{
+	struct gw *gw = arg;
+
+	/* The first calls are made before there are members. */
+	return gw->shared.members ? mbr_relay(gw->shared.members) : NULL;
+}
+
 static void on_marked(void *arg, uint64_t fingerprint, const char *server)
 {
 	struct gw *gw = arg;
@@ -289,6 +300,13 @@
 	gw->ready = listen_at(gw, gw->settings->ready, &ready);
 	if (gw->settings->metrics != NULL)
 		gw->metrics = listen_at(gw, gw->settings->metrics, &metrics);
+	if (gw->settings->relay != NULL)
+		gw->relay =
+			rly_create(gw->base, gw->shared.up, gw->settings->relay,
+				   gw->settings->store);
+	if (gw->settings->relay != NULL && gw->relay == NULL)
+		fprintf(stderr, "apricotshift: listen on %s: %s\n",
+			gw->settings->relay, strerror(errno));
 	return gw->callers != NULL && gw->ready != NULL;
 }
 
@@ -316,6 +334,7 @@
 		.id = settings->id,
 		.zone = settings->zone,
 		.address = settings->peers,
+		.relay = settings->relay,
 		.config_age = config_age,
 		.limit = account_limit,
 		.lent = on_lent,
@@ -331,6 +350,7 @@
 	shared->quota_slack = settings->quota_slack / 2.0;
 	shared->up = up_create(gw->base);
 	shared->store = rst_create(gw->base, shared->up, settings->store);
+	rst_set_relay(shared->store, find_relay, gw);
 	shared->fleet = flt_create(drop_idle);
 	shared->quota = qta_create(clock_boot_ms());
 	shared->admission = adm_create(gw->base, shared->quota);
@@ -387,6 +407,7 @@
 	in_destroy(gw->callers);
 	in_destroy(gw->ready);
 	in_destroy(gw->metrics);
+	rly_destroy(gw->relay);
 	mbr_destroy(shared->members);
 	blf_destroy(shared->beliefs);
 	trn_destroy(shared->programs);
--- a/serve/gateway.h
+++ b/serve/gateway.h
@@ -13,15 +13,16 @@
 
 /** Settings of an instance; unset strings are NULL. */
 struct gw_settings {
-	char *id;	      /**< name of the instance */
-	char *zone;	      /**< its availability zone */
-	char *callers;	      /**< HOST:PORT for callers */
-	char *ready;	      /**< HOST:PORT for the balancer's question */
-	char *peers;	      /**< HOST:PORT for datagrams of other instances */
-	char *metrics;	      /**< HOST:PORT for metrics, or NULL */
-	char *store;	      /**< HOST:PORT of the platform's store */
-	uint32_t grace_s;     /**< from SIGTERM to SIGKILL */
-	uint32_t revoke_ms;   /**< a withdrawn key ends within that */
+	char *id;	    /**< name of the instance */
+	char *zone;	    /**< its availability zone */
+	char *callers;	    /**< HOST:PORT for callers */
+	char *ready;	    /**< HOST:PORT for the balancer's question */
+	char *peers;	    /**< HOST:PORT for datagrams of other instances */
+	char *relay;	    /**< HOST:PORT for store calls of others, or NULL */
+	char *metrics;	    /**< HOST:PORT for metrics, or NULL */
+	char *store;	    /**< HOST:PORT of the platform's store */
+	uint32_t grace_s;   /**< from SIGTERM to SIGKILL */
+	uint32_t revoke_ms; /**< a withdrawn key ends within that */
 	uint32_t quota_slack; /**< requests by which an account may pass its
 			       * limit, all instances together */
 	uint32_t cache_kb;    /**< history of programs that is kept at hand */
--- a/serve/members.c
+++ b/serve/members.c
@@ -15,13 +15,16 @@
 #define MEMBERS_PART ""
 
 enum {
-	GOSSIP_MS = 250,   /* a share of an account's rate follows demand
-			    * within about two of these */
-	RENEW_MS = 2000,   /* rows of members, and the reading of them */
-	SILENT_MS = 1500,  /* not heard for so long */
-	GONE_MS = 5000,	   /* and its row not renewed for so long */
-	FORGET_MS = 60000, /* rows of instances that are gone */
-	FRESH_MS = 3000,   /* a configuration younger than that is in use */
+	GOSSIP_MS = 250,       /* a share of an account's rate follows demand
+				* within about two of these */
+	RENEW_MS = 2000,       /* rows of members, and the reading of them */
+	SILENT_MS = 1500,      /* not heard for so long */
+	GONE_MS = 5000,	       /* and its row not renewed for so long */
+	FORGET_MS = 60000,     /* rows of instances that are gone */
+	FRESH_MS = 3000,       /* a configuration younger than that is in use */
+	RELAY_HEARD_MS = 800,  /* three words of it may get lost */
+	RELAY_FRESH_MS = 2600, /* a configuration is one to two seconds old
+				* where the store answers */
 	DATAGRAM_MOST = 8192,
 	MARKS_MOST = 16,  /* in one datagram */
 	MARK_REPEATS = 4, /* datagrams get lost */
@@ -29,6 +32,7 @@
 
 struct member {
 	char *id;
+	char *relay;
 	struct sockaddr_in addr;
 	int64_t version;    /* of its row */
 	int64_t changed_at; /* when we saw that version first */
@@ -66,6 +70,7 @@
 	struct member *member = p;
 
 	g_free(member->id);
+	g_free(member->relay);
 	g_free(member);
 }
 
@@ -190,6 +195,7 @@
 	self.zone = (char *)mbr->config.zone;
 	self.incarnation = mbr->config.incarnation;
 	self.beat = mbr->beat;
+	self.relay = (char *)mbr->config.relay;
 	gossip.id = (char *)mbr->config.id;
 	gossip.member = &self;
 	gossip.n_demands = demands->len;
@@ -245,6 +251,8 @@
 	member = member_of(mbr, gossip->id);
 	if (!set_address(member, gossip->member->address))
 		return;
+	g_free(member->relay);
+	member->relay = g_strdup(gossip->member->relay);
 	member->heard_at = clock_boot_ms();
 	member->config_age_ms = gossip->config_age_ms;
 	member->leaving = gossip->leaving;
@@ -555,6 +563,35 @@
 	return false;
 }
 
+const char *mbr_relay(const struct mbr *mbr)
+{
+	int64_t now = clock_boot_ms();
+	const struct member *best = NULL;
+	uint32_t best_order = 0;
+	GHashTableIter it;
+	gpointer p;
+
+	/* Each instance has an order of its own, so that relays share the load.
+	 */
+	g_hash_table_iter_init(&it, mbr->members);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct member *member = p;
+		uint32_t order = g_str_hash(member->id) * 2654435761U ^
+				 (uint32_t)mbr->config.incarnation;
+		int64_t silent = now - member->heard_at;
+
+		if (member->relay == NULL || member->leaving ||
+		    silent > RELAY_HEARD_MS ||
+		    silent + member->config_age_ms > RELAY_FRESH_MS)
+			continue;
+		if (best == NULL || order > best_order) {
+			best = member;
+			best_order = order;
+		}
+	}
+	return best ? best->relay : NULL;
+}
+
 void mbr_mark(struct mbr *mbr, uint64_t fingerprint, const char *server)
 {
 	struct mark *mark = g_new(struct mark, 1);
--- a/serve/members.h
+++ b/serve/members.h
@@ -25,6 +25,7 @@
 	const char *id;
 	const char *zone;
 	const char *address; /**< HOST:PORT for datagrams */
+	const char *relay;   /**< HOST:PORT for calls to the store, or NULL */
 	uint64_t incarnation;
 	/** Age of the configuration, in ms. */
 	int64_t (*config_age)(void *arg);
@@ -45,6 +46,8 @@
 uint32_t mbr_count(const struct mbr *mbr);
 /** Whether another instance has a fresh configuration. */
 bool mbr_others_fresh(const struct mbr *mbr);
+/** The address of an instance that reaches the store, or NULL. */
+const char *mbr_relay(const struct mbr *mbr);
 /** Tells the others of a mark. */
 void mbr_mark(struct mbr *mbr, uint64_t fingerprint, const char *server);
 /** Asks @p instance for requests of an account's quota. */
--- a/test/standins/rowstore.c
+++ b/test/standins/rowstore.c
@@ -31,7 +31,10 @@
 };
 
 struct srs {
+	struct event_base *base;
 	struct in *in;
+	struct in *door; /* the second address */
+	bool door_closed;
 	struct event *tick;
 	enum srs_mode mode;
 	GTree *rows; /* "table\npart\nkey" -> struct row */
@@ -326,6 +329,16 @@
 		in_reply(request, 404, "", NULL, 0);
 }
 
+static void on_door_request(void *arg, struct in_request *request)
+{
+	struct srs *srs = arg;
+
+	if (srs->door_closed)
+		in_reply(request, 503, "", NULL, 0);
+	else
+		on_request(arg, request);
+}
+
 static void on_gone(void *arg, struct in_request *request)
 {
 	struct srs *srs = arg;
@@ -365,6 +378,7 @@
 		g_free(srs);
 		return NULL;
 	}
+	srs->base = base;
 	srs->version = 1;
 	srs->rows = g_tree_new_full(compare, NULL, g_free, row_free);
 	srs->feeds = g_ptr_array_new_with_free_func(feed_free);
@@ -378,12 +392,25 @@
 	if (srs == NULL)
 		return;
 	in_destroy(srs->in);
+	in_destroy(srs->door);
 	event_free(srs->tick);
 	g_ptr_array_free(srs->feeds, TRUE);
 	g_tree_destroy(srs->rows);
 	g_free(srs);
 }
 
+void srs_open_door(struct srs *srs, const char *address)
+{
+	static const struct in_handler handler = {on_door_request, on_gone};
+
+	srs->door = in_create(srs->base, address, &handler, srs);
+}
+
+void srs_close_door(struct srs *srs, bool closed)
+{
+	srs->door_closed = closed;
+}
+
 void srs_set_mode(struct srs *srs, enum srs_mode mode)
 {
 	srs->mode = mode;
--- a/test/standins/rowstore.h
+++ b/test/standins/rowstore.h
@@ -5,6 +5,8 @@
 #ifndef APS_STANDIN_ROWSTORE_H
 #define APS_STANDIN_ROWSTORE_H
 
+#include <stdbool.h>
+
 #include <event2/event.h>
 #include <glib.h>
 
@@ -22,6 +24,10 @@
 struct srs *srs_create(struct event_base *base, const char *address);
 void srs_destroy(struct srs *srs);
 void srs_set_mode(struct srs *srs, enum srs_mode mode);
+/** Listens on a second address, which can be closed by itself. */
+void srs_open_door(struct srs *srs, const char *address);
+/** Whether calls at the second address get 503. */
+void srs_close_door(struct srs *srs, bool closed);
 /** Writes a row past all conditions; NULL removes it. */
 void srs_put(struct srs *srs, const char *table, const char *part,
 	     const char *key, const char *value);
