--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -345,11 +345,12 @@
 	flt_sent(server, now);
 	sts_count(STS_SENT);
 	slog("sent", x->call.id,
-	     "\"server\":%s,\"running\":%u,\"told\":%u,\"told_ms\":"
-	     "%" G_GINT64_FORMAT ",\"left_ms\":%" G_GINT64_FORMAT
+	     "\"server\":%s,\"account\":%s,\"running\":%u,\"told\":%u,"
+	     "\"told_ms\":%" G_GINT64_FORMAT ",\"left_ms\":%" G_GINT64_FORMAT
 	     ",\"route\":%s,\"config\":%" G_GINT64_FORMAT,
-	     slog_quote(server->id), server->running,
-	     server->told_running + server->told_waiting, now - server->told_at,
+	     slog_quote(server->id), slog_quote(xch_account_name(x)),
+	     server->running, server->told_running + server->told_waiting,
+	     server->told_at > 0 ? now - server->told_at : -1,
 	     forward.deadline_ms, slog_quote(x->route->name),
 	     cat_version(x->cat));
 	request.head = wire_write_call(x->request, &forward,
