An instance that hears nobody does not believe that it is alone

Cause: found by reading: a member counted as gone 5 s after its row was last seen to change, also if rows could not be read; an instance that had been cut off came back with the whole of every account's rate and burst until it had read the rows again. Test: test_cut_off_instance_does_not_feel_alone failed before (1 != 2), passes after.

--- a/serve/members.c
+++ b/serve/members.c
@@ -61,7 +61,8 @@
 	int64_t row_version;
 	uint32_t beat;
 	uint32_t count;
-	bool listed; /* the rows have been read once */
+	int64_t read_at; /* when the rows were last read */
+	bool listed;	 /* the rows have been read once */
 	bool leaving;
 };
 
@@ -112,8 +113,9 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct member *member = p;
 		bool silent = now - member->heard_at > SILENT_MS;
-		bool gone = silent && (member->leaving ||
-				       now - member->changed_at > GONE_MS);
+		/* Only reading can show that a row is not renewed. */
+		bool lapsed = mbr->read_at - member->changed_at > GONE_MS;
+		bool gone = silent && (member->leaving || lapsed);
 
 		if (member->counted == gone)
 			slog("member", NULL,
@@ -421,6 +423,7 @@
 		take_row(mbr, &g_array_index(answer->rows, struct rst_row, i),
 			 now);
 	mbr->listed = true;
+	mbr->read_at = now;
 	recount(mbr);
 	forget_members(mbr, answer, now);
 }
--- a/test/unit/test_gateway.c
+++ b/test/unit/test_gateway.c
@@ -251,6 +251,7 @@
 			.ready = gateway_address(i, 1),
 			.peers = gateway_address(i, 2),
 			.relay = gateway_address(i, 3),
+			.metrics = gateway_address(i, 4),
 			.store = g_strdup(i == 0 ? DOOR : STORE),
 			.grace_s = 4,
 			.revoke_ms = 5000,
@@ -279,6 +280,7 @@
 		g_free(w.settings[i].ready);
 		g_free(w.settings[i].peers);
 		g_free(w.settings[i].relay);
+		g_free(w.settings[i].metrics);
 		g_free(w.settings[i].store);
 	}
 	for (int i = 0; i < 2; i++) {
@@ -704,6 +706,51 @@
 	got_clear(&got);
 }
 
+/* How many instances one of them believes that there are. */
+static int instances_seen_by(int gateway)
+{
+	static const char name[] = "apricotshift_instances ";
+	char *address = gateway_address(gateway, 4);
+	GQueue idle = G_QUEUE_INIT;
+	struct up_request request = {
+		.address = address,
+		.idle = &idle,
+		.head = g_string_new("GET /metrics HTTP/1.1\r\nHost: x\r\n"
+				     "Connection: close\r\n\r\n"),
+		.connect_ms = 200};
+	struct got got;
+	const char *at;
+	int count;
+
+	memset(&got, 0, sizeof(got));
+	got.body = g_string_new(NULL);
+	got.call = up_start(w.up, &request, &caller, &got);
+	run_until(&got.done, 1000);
+	at = strstr(got.body->str, name);
+	count = at ? (int)g_ascii_strtoll(at + strlen(name), NULL, 10) : -1;
+	got_clear(&got);
+	up_close_idle(&idle);
+	g_free(address);
+	return count;
+}
+
+/* An instance that hears nobody and can't read does not believe that it is
+ * alone: it would take the whole of every account's rate. */
+static void test_cut_off_instance_does_not_feel_alone(void **state)
+{
+	(void)state;
+	run_until(NULL, 400);
+	assert_int_equal(instances_seen_by(0), 2);
+	srs_set_mode(w.store, SRS_BUSY);
+	gw_destroy(w.gateways[1]);
+	w.gateways[1] = NULL;
+	run_until(NULL, 7000);
+	assert_int_equal(instances_seen_by(0), 2);
+	srs_set_mode(w.store, SRS_OK);
+	run_until(NULL, 3500);
+	assert_int_equal(instances_seen_by(0), 1);
+}
+
 static void test_caller_that_leaves_ends_the_run(void **state)
 {
 	struct got got;
@@ -846,6 +893,7 @@
 		CASE(test_withdrawn_key_and_lost_history),
 		CASE(test_leaving_servers_and_zones),
 		CASE(test_store_through_another_instance),
+		CASE(test_cut_off_instance_does_not_feel_alone),
 		CASE(test_removal_after_an_outage),
 		CASE(test_caller_that_leaves_ends_the_run),
 		CASE(test_quota_over_instances),
