--- a/decide/quota.c
+++ b/decide/quota.c
@@ -1,7 +1,9 @@
 /** @file quota.c @brief Rate and burst of an account over all instances. */
 #include <math.h>
+#include <string.h>
 
 #include "quota.h"
+#include "rng.h"
 
 /* Demand fades with this time, so that shares follow moving callers. */
 #define DEMAND_FADE_MS 1500.0
@@ -9,6 +11,9 @@
 #define EVEN_PART 0.05
 /* Part of the burst that new programs leave to those under way. */
 #define NEW_PROGRAM_PART 0.5
+/* The part of a small limit that lies at its home; the rest is for instances
+ * that can't ask it. */
+#define HOME_PART 0.95
 /* What a lender keeps for its own callers, in seconds of their demand. */
 #define KEEP_S 0.1
 /* Demand below this is taken as none, in requests a second. */
@@ -18,6 +23,7 @@
 	INSTANCES_UNKNOWN = 16, /* before the first list of instances */
 	WAIT_MOST_MS = 1000,
 	WORD_FRESH_MS = 600, /* two words of an instance may get lost */
+	FLOORS_MOST = 16,    /* instances that may hold a token more than due */
 	LENT_MS = 400, /* what was lent for a request that left is dropped */
 };
 
@@ -30,6 +36,8 @@
 	double demand; /* requests a second */
 	int64_t demand_at;
 	GHashTable *others; /* instance -> struct word */
+	bool home;	    /* this instance is the account's home */
+	uint32_t home_for;  /* value of qta.changes that this holds for */
 };
 
 /* The last word of another instance on one account. */
@@ -41,7 +49,9 @@
 };
 
 struct qta {
+	char *id;
 	int64_t started;
+	uint32_t changes; /* of the set of instances */
 	uint32_t instances;
 	GHashTable *heard;   /* instances whose demand is known */
 	GHashTable *buckets; /* account -> struct bucket */
@@ -55,11 +65,13 @@
 	g_free(bucket);
 }
 
-struct qta *qta_create(int64_t now)
+struct qta *qta_create(const char *id, int64_t now)
 {
 	struct qta *qta = g_new0(struct qta, 1);
 
+	qta->id = g_strdup(id);
 	qta->started = now;
+	qta->changes = 1;
 	qta->instances = INSTANCES_UNKNOWN;
 	qta->heard =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -74,6 +86,7 @@
 		return;
 	g_hash_table_destroy(qta->heard);
 	g_hash_table_destroy(qta->buckets);
+	g_free(qta->id);
 	g_free(qta);
 }
 
@@ -131,17 +144,21 @@
 void qta_heard(struct qta *qta, const char *instance)
 {
 	drop_demands(qta, instance);
-	g_hash_table_add(qta->heard, g_strdup(instance));
+	if (g_hash_table_add(qta->heard, g_strdup(instance)))
+		qta->changes++;
 }
 
 void qta_forget(struct qta *qta, const char *instance)
 {
 	drop_demands(qta, instance);
-	g_hash_table_remove(qta->heard, instance);
+	if (g_hash_table_remove(qta->heard, instance))
+		qta->changes++;
 }
 
 void qta_instances(struct qta *qta, uint32_t count)
 {
+	if (qta->instances != MAX(count, 1))
+		qta->changes++;
 	qta->instances = MAX(count, 1);
 }
 
@@ -160,6 +177,55 @@
 	return word->demand * bucket->demand / own;
 }
 
+/* The order of an instance among the homes of an account. */
+static uint64_t home_order(const char *account, const char *instance)
+{
+	uint64_t order = rng_hash(account) ^ rng_hash(instance);
+
+	return rng_mix(order);
+}
+
+/* The home of an account among the instances that are known. */
+static const char *home_of(const struct qta *qta, const char *account)
+{
+	const char *home = qta->id;
+	uint64_t most = home_order(account, home);
+	GHashTableIter it;
+	gpointer other;
+
+	g_hash_table_iter_init(&it, qta->heard);
+	while (g_hash_table_iter_next(&it, &other, NULL)) {
+		uint64_t order = home_order(account, other);
+
+		if (order <= most)
+			continue;
+		home = other;
+		most = order;
+	}
+	return home;
+}
+
+/* As long as instances are missing, one of them may be the home. */
+static bool is_home(const struct qta *qta, const char *account)
+{
+	return g_hash_table_size(qta->heard) + 1 >= qta->instances &&
+	       strcmp(home_of(qta, account), qta->id) == 0;
+}
+
+/*
+ * The part of a limit that lies at its home. An instance needs a whole token
+ * to send anything; where shares are smaller than that, or where a token for
+ * each would be much beside the limit, nearly all of it lies in one place.
+ */
+static double home_part(const struct qta *qta, double burst)
+{
+	double each = burst / qta->instances;
+
+	if (each < 1.0 || (qta->instances > FLOORS_MOST && each < 4.0))
+		return HOME_PART;
+	return 0;
+}
+
 static double share_of(const struct qta *qta, struct bucket *bucket,
 		       int64_t now)
 {
@@ -181,12 +247,21 @@
 }
 
 /* Adds what has come in since the last time, at the share there is now. */
-static void refill(struct qta *qta, struct bucket *bucket,
+static void refill(struct qta *qta, const char *account, struct bucket *bucket,
 		   const struct qta_limit *limit, int64_t now)
 {
-	double share = share_of(qta, bucket, now);
-	double most =
-		MAX(limit->burst * share, 1.0) + limit->slack / qta->instances;
+	double at_home = home_part(qta, limit->burst);
+	double share = (1 - at_home) * share_of(qta, bucket, now);
+	double most;
+
+	if (bucket->home_for != qta->changes) {
+		bucket->home = is_home(qta, account);
+		bucket->home_for = qta->changes;
+	}
+	if (bucket->home)
+		share += at_home;
+	most = MAX(limit->burst * share, at_home > 0 ? 0 : 1.0) +
+	       limit->slack / qta->instances;
 
 	if (share < bucket->share && bucket->tokens > 0)
 		bucket->tokens *= share / bucket->share;
@@ -219,7 +294,7 @@
 	*wait_ms = 0;
 	if (limit->rate <= 0)
 		return true;
-	refill(qta, bucket, limit, now);
+	refill(qta, account, bucket, limit, now);
 	if (begins)
 		least += NEW_PROGRAM_PART * limit->burst * bucket->share;
 	if (bucket->lent >= 1.0) {
@@ -246,8 +321,14 @@
 		       : (double)WAIT_MOST_MS;
 }
 
+static bool was_asked(const GPtrArray *asked, const char *instance)
+{
+	return g_ptr_array_find_with_equal_func((GPtrArray *)asked, instance,
+						g_str_equal, NULL);
+}
+
 const char *qta_lender(struct qta *qta, const char *account,
-		       const GPtrArray *asked)
+		       const struct qta_limit *limit, const GPtrArray *asked)
 {
 	struct bucket *bucket = bucket_of(qta, account);
 	const char *best = NULL;
@@ -256,14 +337,19 @@
 	gpointer instance;
 	gpointer p;
 
+	if (home_part(qta, limit->burst) > 0) {
+		best = home_of(qta, account);
+		if (strcmp(best, qta->id) != 0 && !was_asked(asked, best))
+			return best;
+		best = NULL;
+	}
 	g_hash_table_iter_init(&it, bucket->others);
 	while (g_hash_table_iter_next(&it, &instance, &p)) {
 		struct word *word = p;
 
 		if (word->tokens < 1.0 ||
 		    (most != NULL && word->tokens <= most->tokens) ||
-		    g_ptr_array_find_with_equal_func(
-			    (GPtrArray *)asked, instance, g_str_equal, NULL))
+		    was_asked(asked, instance))
 			continue;
 		best = instance;
 		most = word;
@@ -283,7 +369,7 @@
 	if (limit->rate <= 0)
 		return 0;
 	fade(bucket, now);
-	refill(qta, bucket, limit, now);
+	refill(qta, account, bucket, limit, now);
 	spare = bucket->tokens - bucket->demand * KEEP_S;
 	granted = spare >= 1.0 ? (uint32_t)MIN(spare, (double)wanted) : 0;
 	bucket->tokens -= granted;
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -11,8 +11,10 @@
  * for itself. The shares of all instances sum to one as long as their views
  * agree. Where a bucket is empty, another instance lends out of its own: the
  * tokens leave there before they arrive here, so a lost message costs tokens
- * and never makes any. An instance that hears nothing keeps the last word of
- * the others, so its share can grow only by what it was asked for itself.
+ * and never makes any. The less there is for each instance, the more of it lies
+ * at one of them, the account's home, which the others borrow from. An instance
+ * that hears nothing keeps the last word of the others, so its share can grow
+ * only by what it was asked for itself.
  */
 #ifndef APS_QUOTA_H
 #define APS_QUOTA_H
@@ -25,8 +27,11 @@
 /** Shares and buckets of all accounts at one instance. */
 struct qta;
 
-/** @param now when the instance started: buckets begin with one request */
-struct qta *qta_create(int64_t now);
+/**
+ * @param id  name of this instance
+ * @param now when it started: buckets begin with one request
+ */
+struct qta *qta_create(const char *id, int64_t now);
 void qta_destroy(struct qta *qta);
 
 /** A word of another instance begins: what it said before is over. */
@@ -68,10 +73,11 @@
 /** The time between two tokens of ours, in ms. */
 double qta_interval_ms(struct qta *qta, const char *account,
 		       const struct qta_limit *limit);
-/** The instance that has most to lend for @p account, or NULL; what it has
+/** The instance to borrow from for @p account, or NULL: its home, if the limit
+ * has one, or the one that has most; what it has
  * counts as lent until its next word. @p asked are left out. */
 const char *qta_lender(struct qta *qta, const char *account,
-		       const GPtrArray *asked);
+		       const struct qta_limit *limit, const GPtrArray *asked);
 /** Takes up to @p wanted requests out of the bucket for another instance. */
 uint32_t qta_lend(struct qta *qta, const char *account,
 		  const struct qta_limit *limit, uint32_t wanted, int64_t now);
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -9,7 +9,6 @@
 enum {
 	LEND_MS = 12,	  /* a question and its answer take 1 to 5 ms */
 	LENDERS_MOST = 3, /* asked for one shortage */
-	WANTED_SPARE = 1, /* asked for beyond what waits */
 };
 
 struct queue {
@@ -148,6 +147,8 @@
 static void ask_lender(struct queue *queue, int64_t now)
 {
 	struct adm *adm = queue->adm;
+	const struct adm_wait *first =
+		cds_list_first_entry(&queue->waits, struct adm_wait, node);
 	const char *lender;
 
 	if (queue->asked_at != 0 && now - queue->asked_at < LEND_MS)
@@ -155,14 +156,15 @@
 	queue->asked_at = 0;
 	if (queue->asked->len >= LENDERS_MOST)
 		return;
-	lender = qta_lender(adm->quota, queue->account, queue->asked);
+	lender = qta_lender(adm->quota, queue->account, &first->limit,
+			    queue->asked);
 	if (lender == NULL)
 		return;
 	queue->serial = ++adm->serial;
 	queue->asked_at = now;
 	g_ptr_array_add(queue->asked, g_strdup(lender));
-	mbr_borrow(adm->members, lender, queue->account,
-		   queue->waiting + WANTED_SPARE, queue->serial);
+	mbr_borrow(adm->members, lender, queue->account, queue->waiting,
+		   queue->serial);
 }
 
 /*
--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -352,7 +352,7 @@
 	shared->store = rst_create(gw->base, shared->up, settings->store);
 	rst_set_relay(shared->store, find_relay, gw);
 	shared->fleet = flt_create(drop_idle);
-	shared->quota = qta_create(clock_boot_ms());
+	shared->quota = qta_create(settings->id, clock_boot_ms());
 	shared->admission = adm_create(gw->base, shared->quota);
 	shared->suspects = sus_create();
 	shared->programs =
--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -34,7 +34,7 @@
 	struct world w;
 
 	w.base = event_base_new();
-	w.quota = qta_create(clock_boot_ms() - 10000);
+	w.quota = qta_create("i", clock_boot_ms() - 10000);
 	qta_instances(w.quota, 1);
 	w.adm = adm_create(w.base, w.quota);
 	return w;
--- a/test/unit/test_quota.c
+++ b/test/unit/test_quota.c
@@ -18,6 +18,8 @@
 
 enum {
 	INSTANCES = 12,
+	MANY = 90,
+	MOST = MANY,
 	GOSSIP_MS = 250,
 	LENDERS = 3,
 	WINDOW_MS = 5000,
@@ -26,8 +28,9 @@
 };
 
 struct fleet {
-	struct qta *at[INSTANCES];
-	bool cut[INSTANCES]; /* hears nobody and is not heard */
+	int n;
+	struct qta *at[MOST];
+	bool cut[MOST]; /* hears nobody and is not heard */
 	struct rng rng;
 	struct qta_limit limit;
 	GArray *taken; /* of int64_t: when each request was let in */
@@ -36,25 +39,26 @@
 	uint32_t refused_ongoing;
 };
 
-static char names[INSTANCES][4];
+static char names[MOST][4];
 
-static void fleet_init(struct fleet *fleet, uint64_t seed, double rate,
+static void fleet_init(struct fleet *fleet, int n, uint64_t seed, double rate,
 		       double burst)
 {
 	memset(fleet, 0, sizeof(*fleet));
+	fleet->n = n;
 	fleet->rng.state = seed;
 	fleet->limit = (struct qta_limit){rate, burst, 10};
 	fleet->taken = g_array_new(FALSE, FALSE, sizeof(int64_t));
-	for (int i = 0; i < INSTANCES; i++) {
+	for (int i = 0; i < fleet->n; i++) {
 		g_snprintf(names[i], sizeof(names[i]), "i%d", i);
-		fleet->at[i] = qta_create(0);
-		qta_instances(fleet->at[i], INSTANCES);
+		fleet->at[i] = qta_create(names[i], 0);
+		qta_instances(fleet->at[i], (uint32_t)n);
 	}
 }
 
 static void fleet_clear(struct fleet *fleet)
 {
-	for (int i = 0; i < INSTANCES; i++)
+	for (int i = 0; i < fleet->n; i++)
 		qta_destroy(fleet->at[i]);
 	g_array_free(fleet->taken, TRUE);
 }
@@ -68,22 +72,23 @@
 static void tell(const char *account, double per_s, double tokens, void *arg)
 {
 	struct word *word = arg;
+	struct fleet *fleet = word->fleet;
 
-	for (int i = 0; i < INSTANCES; i++) {
-		if (i != word->from && !word->fleet->cut[i])
-			qta_told(word->fleet->at[i], names[word->from], account,
+	for (int i = 0; i < fleet->n; i++) {
+		if (i != word->from && !fleet->cut[i])
+			qta_told(fleet->at[i], names[word->from], account,
 				 per_s, tokens, word->now);
 	}
 }
 
 static void gossip(struct fleet *fleet, int64_t now)
 {
-	for (int from = 0; from < INSTANCES; from++) {
+	for (int from = 0; from < fleet->n; from++) {
 		struct word word = {fleet, from, now};
 
 		if (fleet->cut[from])
 			continue;
-		for (int i = 0; i < INSTANCES; i++) {
+		for (int i = 0; i < fleet->n; i++) {
 			if (i != from && !fleet->cut[i])
 				qta_heard(fleet->at[i], names[from]);
 		}
@@ -105,7 +110,8 @@
 			   &wait_ms);
 
 	for (int n = 0; !ok && !fleet->cut[i] && n < LENDERS; n++) {
-		const char *name = qta_lender(fleet->at[i], "a", asked);
+		const char *name =
+			qta_lender(fleet->at[i], "a", &fleet->limit, asked);
 		int from = name ? instance_of(name) : -1;
 
 		if (name == NULL || fleet->cut[from])
@@ -113,7 +119,7 @@
 		g_ptr_array_add(asked, (gpointer)names[from]);
 		qta_borrowed(
 			fleet->at[i], "a",
-			qta_lend(fleet->at[from], "a", &fleet->limit, 2, now),
+			qta_lend(fleet->at[from], "a", &fleet->limit, 1, now),
 			now);
 		ok = qta_take(fleet->at[i], "a", &fleet->limit, begins, now,
 			      &wait_ms);
@@ -146,7 +152,7 @@
 		while (rng_unit(&fleet->rng) < per_s / 1000.0) {
 			double at = rng_unit(&fleet->rng);
 
-			request(fleet, (int)(at * at * INSTANCES), false, now);
+			request(fleet, (int)(at * at * fleet->n), false, now);
 			if (per_s < 1000)
 				break;
 		}
@@ -192,7 +198,7 @@
 	for (uint64_t seed = 1; seed <= 20; seed++) {
 		struct fleet fleet;
 
-		fleet_init(&fleet, seed, 30, 30);
+		fleet_init(&fleet, INSTANCES, seed, 30, 30);
 		load(&fleet, 18, 0, 5000);
 		load(&fleet, 225, 5000, RUN_MS);
 		assert_true(busiest_window(&fleet) <= allowed(&fleet));
@@ -212,7 +218,7 @@
 	for (uint64_t seed = 1; seed <= 20; seed++) {
 		struct fleet fleet;
 
-		fleet_init(&fleet, seed, 30, 30);
+		fleet_init(&fleet, INSTANCES, seed, 30, 30);
 		load(&fleet, 0, 0, 2000);
 		load(&fleet, 19, 2000, RUN_MS);
 		refused += fleet.refused;
@@ -223,13 +229,36 @@
 	assert_true(refused * 1000 <= asked);
 }
 
+/* Ninety instances, and a limit of a tenth of a token a second for each. */
+static void test_small_limits_of_a_wide_fleet(void **state)
+{
+	uint32_t refused = 0;
+	uint32_t asked = 0;
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= 4; seed++) {
+		struct fleet fleet;
+
+		fleet_init(&fleet, MANY, seed, 9, 9);
+		load(&fleet, 0, 0, 2000);
+		load(&fleet, 5.5, 2000, 12000);
+		refused += fleet.refused;
+		asked += fleet.asked;
+		load(&fleet, 40, 12000, RUN_MS);
+		assert_true(busiest_window(&fleet) <= allowed(&fleet));
+		fleet_clear(&fleet);
+	}
+	/* One exact bucket would refuse none at 5.5 of 9 a second. */
+	assert_true(refused * 100 <= asked);
+}
+
 static void test_lowered_limit_with_few_tokens(void **state)
 {
 	(void)state;
 	for (uint64_t seed = 1; seed <= 20; seed++) {
 		struct fleet fleet;
 
-		fleet_init(&fleet, seed, 30, 30);
+		fleet_init(&fleet, INSTANCES, seed, 30, 30);
 		load(&fleet, 25, 0, 3000);
 		g_array_set_size(fleet.taken, 0);
 		fleet.limit.rate = 4;
@@ -246,7 +275,7 @@
 	for (uint64_t seed = 1; seed <= 20; seed++) {
 		struct fleet fleet;
 
-		fleet_init(&fleet, seed, 30, 30);
+		fleet_init(&fleet, INSTANCES, seed, 30, 30);
 		load(&fleet, 18, 0, 5000);
 		for (int i = 0; i < 4; i++)
 			fleet.cut[(i * 5 + (int)seed) % INSTANCES] = true;
@@ -264,14 +293,14 @@
 	for (uint64_t seed = 1; seed <= 20; seed++) {
 		struct fleet fleet;
 
-		fleet_init(&fleet, seed, 30, 30);
+		fleet_init(&fleet, INSTANCES, seed, 30, 30);
 		load(&fleet, 60, 0, 5000);
 		for (int round = 0; round < 5; round++) {
 			int64_t now = 5000 + round * 1000;
 
 			for (int i = 0; i < INSTANCES; i++) {
 				qta_destroy(fleet.at[i]);
-				fleet.at[i] = qta_create(now);
+				fleet.at[i] = qta_create(names[i], now);
 			}
 			load(&fleet, 60, now, now + 1000);
 		}
@@ -282,7 +311,7 @@
 
 static void test_programs_under_way_go_first(void **state)
 {
-	struct qta *qta = qta_create(0);
+	struct qta *qta = qta_create("i", 0);
 	struct qta_limit limit = {10, 10, 0};
 	int64_t wait_ms;
 	int begun = 0;
@@ -302,7 +331,7 @@
 
 static void test_given_back_tokens_do_not_pile_up(void **state)
 {
-	struct qta *qta = qta_create(0);
+	struct qta *qta = qta_create("i", 0);
 	struct qta_limit limit = {10, 10, 0};
 	int64_t wait_ms;
 	int taken = 0;
@@ -322,6 +351,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_hot_account_stays_in_its_limit),
 		cmocka_unit_test(test_account_within_its_limit_is_not_refused),
+		cmocka_unit_test(test_small_limits_of_a_wide_fleet),
 		cmocka_unit_test(test_lowered_limit_with_few_tokens),
 		cmocka_unit_test(test_cut_off_instances_stay_in_the_limit),
 		cmocka_unit_test(test_restarted_instances_bring_no_burst),
