--- a/decide/quota.c
+++ b/decide/quota.c
@@ -53,6 +53,7 @@
 	int64_t started;
 	uint32_t changes; /* of the set of instances */
 	uint32_t instances;
+	GHashTable *alive;   /* instances that are heard now */
 	GHashTable *heard;   /* instances whose demand is known */
 	GHashTable *buckets; /* account -> struct bucket */
 };
@@ -75,6 +76,8 @@
 	qta->instances = INSTANCES_UNKNOWN;
 	qta->heard =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	qta->alive =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	qta->buckets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     bucket_free);
 	return qta;
@@ -84,6 +87,7 @@
 {
 	if (qta == NULL)
 		return;
+	g_hash_table_destroy(qta->alive);
 	g_hash_table_destroy(qta->heard);
 	g_hash_table_destroy(qta->buckets);
 	g_free(qta->id);
@@ -144,15 +148,22 @@
 void qta_heard(struct qta *qta, const char *instance)
 {
 	drop_demands(qta, instance);
-	if (g_hash_table_add(qta->heard, g_strdup(instance)))
+	g_hash_table_add(qta->heard, g_strdup(instance));
+	if (g_hash_table_add(qta->alive, g_strdup(instance)))
+		qta->changes++;
+}
+
+void qta_silent(struct qta *qta, const char *instance)
+{
+	if (g_hash_table_remove(qta->alive, instance))
 		qta->changes++;
 }
 
 void qta_forget(struct qta *qta, const char *instance)
 {
 	drop_demands(qta, instance);
-	if (g_hash_table_remove(qta->heard, instance))
-		qta->changes++;
+	g_hash_table_remove(qta->heard, instance);
+	qta_silent(qta, instance);
 }
 
 void qta_instances(struct qta *qta, uint32_t count)
@@ -193,7 +204,7 @@
 	GHashTableIter it;
 	gpointer other;
 
-	g_hash_table_iter_init(&it, qta->heard);
+	g_hash_table_iter_init(&it, qta->alive);
 	while (g_hash_table_iter_next(&it, &other, NULL)) {
 		uint64_t order = home_order(account, other);
 
@@ -205,11 +216,18 @@
 	return home;
 }
 
-/* As long as instances are missing, one of them may be the home. */
+/*
+ * An instance that is missing may still be the home, for its own callers: in a
+ * small fleet that is a large part, so there is no home meanwhile; in a wide
+ * one the most that can be known there is that more than half are heard.
+ */
 static bool is_home(const struct qta *qta, const char *account)
 {
-	return g_hash_table_size(qta->heard) + 1 >= qta->instances &&
-	       strcmp(home_of(qta, account), qta->id) == 0;
+	guint alive = g_hash_table_size(qta->alive) + 1;
+	guint least = qta->instances > FLOORS_MOST ? qta->instances / 2 + 1
+						   : qta->instances;
+
+	return alive >= least && strcmp(home_of(qta, account), qta->id) == 0;
 }
 
 /*
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -40,6 +40,8 @@
  * could send @p tokens at once. */
 void qta_told(struct qta *qta, const char *instance, const char *account,
 	      double per_s, double tokens, int64_t now);
+/** An instance is not heard at present: it is no account's home. */
+void qta_silent(struct qta *qta, const char *instance);
 /** Forgets an instance that is known to send nothing any more. */
 void qta_forget(struct qta *qta, const char *instance);
 /** Says how many instances there are, this one included. */
--- a/serve/members.c
+++ b/serve/members.c
@@ -15,13 +15,15 @@
 #define MEMBERS_PART ""
 
 enum {
-	GOSSIP_MS = 250,       /* a share of an account's rate follows demand
-				* within about two of these */
-	RENEW_MS = 2000,       /* rows of members, and the reading of them */
-	SILENT_MS = 1500,      /* not heard for so long */
-	GONE_MS = 5000,	       /* and its row not renewed for so long */
-	FORGET_MS = 60000,     /* rows of instances that are gone */
-	FRESH_MS = 3000,       /* a configuration younger than that is in use */
+	GOSSIP_MS = 250, /* a share of an account's rate follows demand
+			  * within about two of these */
+	RENEW_MS = 2000, /* rows of members, and the reading of them */
+	RENEW_MOST_MS = 8000,
+	FEW = 16,	   /* members up to which a row is renewed that often */
+	SILENT_MS = 1500,  /* not heard for so long */
+	GONE_RENEWALS = 3, /* and its row not renewed for so many */
+	FORGET_MS = 60000, /* rows of instances that are gone */
+	FRESH_MS = 3000,   /* a configuration younger than that is in use */
 	RELAY_HEARD_MS = 800,  /* three words of it may get lost */
 	RELAY_FRESH_MS = 2600, /* a configuration is one to two seconds old
 				* where the store answers */
@@ -101,6 +103,13 @@
 	return true;
 }
 
+/* The store bears so many renewals, so the more members, the fewer of each. */
+static int64_t renew_ms(const struct mbr *mbr)
+{
+	return MIN(RENEW_MS * (int64_t)MAX(mbr->count, FEW) / FEW,
+		   RENEW_MOST_MS);
+}
+
 /* Counts who may send requests, and forgets the demand of who may not. */
 static void recount(struct mbr *mbr)
 {
@@ -114,7 +123,8 @@
 		struct member *member = p;
 		bool silent = now - member->heard_at > SILENT_MS;
 		/* Only reading can show that a row is not renewed. */
-		bool lapsed = mbr->read_at - member->changed_at > GONE_MS;
+		bool lapsed = mbr->read_at - member->changed_at >
+			      GONE_RENEWALS * renew_ms(mbr);
 		bool gone = silent && (member->leaving || lapsed);
 
 		if (member->counted == gone)
@@ -126,8 +136,9 @@
 		member->counted = !gone;
 		if (gone)
 			qta_forget(mbr->config.quota, member->id);
-		else
-			count++;
+		else if (silent)
+			qta_silent(mbr->config.quota, member->id);
+		count += !gone;
 	}
 	mbr->count = count;
 	if (mbr->listed)
@@ -461,9 +472,15 @@
 
 static void on_renew_timer(evutil_socket_t fd, short what, void *arg)
 {
+	struct mbr *mbr = arg;
+	int64_t ms = renew_ms(mbr);
+	struct timeval tv = {.tv_sec = ms / 1000,
+			     .tv_usec = (ms % 1000) * 1000};
+
 	(void)fd;
 	(void)what;
-	renew(arg);
+	renew(mbr);
+	event_add(mbr->renew_timer, &tv);
 }
 
 static int bind_datagrams(const char *address)
@@ -516,8 +533,8 @@
 				  on_readable, mbr);
 	event_add(mbr->readable, NULL);
 	mbr->gossip_timer = repeat(mbr, GOSSIP_MS, on_gossip_timer);
-	mbr->renew_timer = repeat(mbr, RENEW_MS, on_renew_timer);
-	renew(mbr);
+	mbr->renew_timer = evtimer_new(config->base, on_renew_timer, mbr);
+	on_renew_timer(-1, 0, mbr);
 	return mbr;
 }
 
