--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -37,9 +37,9 @@
 	FIELD(relay, SET_ADDRESS, false, 0, 0, 0),
 	FIELD(metrics, SET_ADDRESS, false, 0, 0, 0),
 	FIELD(store, SET_ADDRESS, true, 0, 0, 0),
-	FIELD(grace_s, SET_NUMBER, false, 8, 1, 3600),
-	FIELD(revoke_ms, SET_NUMBER, false, 5000, 2000, 600000),
-	FIELD(quota_slack, SET_NUMBER, false, 0, 0, 1000000),
+	FIELD(grace_s, SET_ROUNDED, false, 8, 1, 3600),
+	FIELD(revoke_ms, SET_ROUNDED, false, 5000, 2000, 600000),
+	FIELD(quota_slack, SET_ROUNDED, false, 0, 0, 1000000),
 	FIELD(cache_kb, SET_NUMBER, false, 3072, 64, 1048576),
 };
 
--- a/serve/settings.c
+++ b/serve/settings.c
@@ -84,6 +84,13 @@
 	return count;
 }
 
+static bool is_number(const struct set_field *field, json_object *value)
+{
+	return json_object_is_type(value, json_type_int) ||
+	       (field->type == SET_ROUNDED &&
+		json_object_is_type(value, json_type_double));
+}
+
 static bool set_number(void *target, const struct set_field *field,
 		       json_object *value, const char *name, GString *errors)
 {
@@ -91,8 +98,8 @@
 
 	if (value != NULL) {
 		number = json_object_get_int64(value);
-		if (!json_object_is_type(value, json_type_int) ||
-		    number < field->min || number > field->max) {
+		if (!is_number(field, value) || number < field->min ||
+		    number > field->max) {
 			g_string_append_printf(
 				errors, "%s: %s: not a number from %u to %u\n",
 				name, field->name, field->min, field->max);
@@ -172,7 +179,7 @@
 		json_object *value = NULL;
 
 		json_object_object_get_ex(root, list[i].name, &value);
-		if (list[i].type == SET_NUMBER)
+		if (list[i].type >= SET_NUMBER)
 			ok &= set_number(target, &list[i], value, name, errors);
 		else
 			ok &= set_string(target, &list[i], value, name, errors);
@@ -184,7 +191,7 @@
 void set_clear(const struct set_field *list, size_t count, void *target)
 {
 	for (size_t i = 0; i < count; i++) {
-		if (list[i].type != SET_NUMBER)
+		if (list[i].type < SET_NUMBER)
 			g_free(*(char **)((char *)target + list[i].offset));
 	}
 }
--- a/serve/settings.h
+++ b/serve/settings.h
@@ -18,7 +18,12 @@
 struct set_field {
 	const char *name;
 	size_t offset; /**< of a char *, or of a uint32_t for numbers */
-	enum set_type { SET_STRING, SET_ADDRESS, SET_NUMBER } type;
+	enum set_type {
+		SET_STRING,
+		SET_ADDRESS,
+		SET_NUMBER,
+		SET_ROUNDED, /**< a fraction counts as the whole below */
+	} type;
 	bool required;
 	uint32_t preset;
 	uint32_t min;
--- a/test/unit/test_gateway.c
+++ b/test/unit/test_gateway.c
@@ -198,27 +198,36 @@
 	assert_true(got->done);
 }
 
+/* Asks one of an instance's own addresses. */
+static void fetch(struct got *got, int gateway, int port, const char *path)
+{
+	char *address = gateway_address(gateway, port);
+	GQueue idle = G_QUEUE_INIT;
+	struct up_request request = {.address = address,
+				     .idle = &idle,
+				     .head = g_string_new(NULL),
+				     .connect_ms = 200};
+
+	memset(got, 0, sizeof(*got));
+	got->body = g_string_new(NULL);
+	g_string_printf(request.head,
+			"GET %s HTTP/1.1\r\nHost: x\r\n"
+			"Connection: close\r\n\r\n",
+			path);
+	got->call = up_start(w.up, &request, &caller, got);
+	run_until(&got->done, 1000);
+	up_close_idle(&idle);
+	g_free(address);
+}
+
 static bool is_ready(int gateway)
 {
 	struct got got;
-	char *address = gateway_address(gateway, 1);
-	GQueue idle = G_QUEUE_INIT;
-	struct up_request request = {
-		.address = address,
-		.idle = &idle,
-		.head = g_string_new("GET /v1/readyz HTTP/1.1\r\nHost: x\r\n"
-				     "Connection: close\r\n\r\n"),
-		.connect_ms = 200};
 	bool ready;
 
-	memset(&got, 0, sizeof(got));
-	got.body = g_string_new(NULL);
-	got.call = up_start(w.up, &request, &caller, &got);
-	run_until(&got.done, 1000);
+	fetch(&got, gateway, 1, "/v1/readyz");
 	ready = got.status == 200;
 	got_clear(&got);
-	up_close_idle(&idle);
-	g_free(address);
 	return ready;
 }
 
@@ -710,27 +719,14 @@
 static int instances_seen_by(int gateway)
 {
 	static const char name[] = "apricotshift_instances ";
-	char *address = gateway_address(gateway, 4);
-	GQueue idle = G_QUEUE_INIT;
-	struct up_request request = {
-		.address = address,
-		.idle = &idle,
-		.head = g_string_new("GET /metrics HTTP/1.1\r\nHost: x\r\n"
-				     "Connection: close\r\n\r\n"),
-		.connect_ms = 200};
 	struct got got;
 	const char *at;
 	int count;
 
-	memset(&got, 0, sizeof(got));
-	got.body = g_string_new(NULL);
-	got.call = up_start(w.up, &request, &caller, &got);
-	run_until(&got.done, 1000);
+	fetch(&got, gateway, 4, "/metrics");
 	at = strstr(got.body->str, name);
 	count = at ? (int)g_ascii_strtoll(at + strlen(name), NULL, 10) : -1;
 	got_clear(&got);
-	up_close_idle(&idle);
-	g_free(address);
 	return count;
 }
 
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -8,6 +8,7 @@
 #include <json-c/json.h>
 
 #include "platform/wire.h"
+#include "serve/gateway.h"
 #include "serve/hdr.h"
 
 static const char config[] =
@@ -185,6 +186,45 @@
 	g_array_unref(headers);
 }
 
+/* What the platform fills in may be a fraction, or missing. */
+static void test_settings_as_filled_in(void **state)
+{
+	static const char whole[] =
+		"// filled in\n{\"id\":\"i\",\"zone\":\"z\","
+		"\"callers\":\"1.2.3.4:1\",\"ready\":\"1.2.3.4:2\","
+		"\"peers\":\"1.2.3.4:3\",%s\"store\":\"1.2.3.4:4\"}";
+	static const struct {
+		const char *rest;
+		bool ok;
+		uint32_t grace_s;
+	} cases[] = {
+		{"\"grace_s\":8,", true, 8},
+		{"\"grace_s\":7.5,", true, 7},
+		{"", true, 8},
+		{"\"grace_s\":\"8\",", false, 0},
+		{"\"grace_s\":0.5,", false, 0},
+		{"\"grace\":8,", false, 0},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		GString *errors = g_string_new(NULL);
+		char *text = g_strdup_printf(whole, cases[i].rest);
+		struct gw_settings *settings;
+
+		assert_true(g_file_set_contents("build/settings.json", text, -1,
+						NULL));
+		settings = gw_read_settings("build/settings.json", errors);
+		assert_int_equal(settings != NULL, cases[i].ok);
+		assert_int_equal(errors->len == 0, cases[i].ok);
+		if (settings != NULL)
+			assert_int_equal(settings->grace_s, cases[i].grace_s);
+		gw_free_settings(settings);
+		g_free(text);
+		g_string_free(errors, TRUE);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -193,6 +233,7 @@
 		cmocka_unit_test(test_server),
 		cmocka_unit_test(test_spoiled_servers_name_none),
 		cmocka_unit_test(test_call_towards_a_server),
+		cmocka_unit_test(test_settings_as_filled_in),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
