--- a/serve/inbound.c
+++ b/serve/inbound.c
@@ -83,10 +83,11 @@
 	conn->since = clock_boot_ms();
 }
 
+/* Ends the parsing: 1 would only skip the body of a head that is whole. */
 static int refuse(struct in_conn *conn, int status)
 {
 	conn->refused = status;
-	return 1;
+	return -1;
 }
 
 static int count_head(struct in_conn *conn, size_t len)
--- a/serve/upstream.c
+++ b/serve/upstream.c
@@ -153,7 +153,7 @@
 	const char *id;
 
 	if (call == NULL)
-		return 1;
+		return -1;
 	call->foreign = parser->status_code < 200;
 	if (call->foreign)
 		return 0;
@@ -168,7 +168,7 @@
 		      parser->content_length != UINT64_MAX;
 	call->framed = head.framed;
 	call->handler->head(call->arg, &head);
-	return conn->dead ? 2 : 0;
+	return conn->dead ? -1 : 0;
 }
 
 static int on_body(http_parser *parser, const char *at, size_t len)
