Read once more: dead code goes, one conversion of times

Ruled out: one splitter for serve/sse.c and serve/events.c (the first reads chat completions, the second must keep every byte of an event); sharing the FNV hash of decide/suspect.c and platform/wire.c with rng_hash(), whose result is mixed and would move placements.

--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -386,23 +386,6 @@
 	return best;
 }
 
-double flt_taken(struct flt *flt, const char *service, int64_t now)
-{
-	GPtrArray *servers = g_hash_table_lookup(flt->services, service);
-	double load = 0;
-	double slots = 0;
-
-	for (guint i = 0; servers != NULL && i < servers->len; i++) {
-		struct flt_server *server = g_ptr_array_index(servers, i);
-
-		if (!in_service(server))
-			continue;
-		load += MIN(load_of(server, now), (double)server->slots);
-		slots += server->slots;
-	}
-	return slots > 0 ? load / slots : 1.0;
-}
-
 void flt_sent(struct flt_server *server, int64_t now)
 {
 	int64_t *at = g_new(int64_t, 1);
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -112,8 +112,6 @@
 /** Chooses the server for a request, or NULL; @p why says why not. */
 struct flt_server *flt_pick(struct flt *flt, const struct flt_query *query,
 			    int64_t now, enum flt_none *why);
-/** Share of the places of a service that are taken, from 0. */
-double flt_taken(struct flt *flt, const char *service, int64_t now);
 
 struct flt_server *flt_ref(struct flt_server *server);
 void flt_unref(struct flt_server *server);
--- a/decide/suspect.c
+++ b/decide/suspect.c
@@ -14,7 +14,6 @@
 
 struct entry {
 	GPtrArray *servers;
-	int64_t first_at;
 	int64_t last_at;
 };
 
@@ -79,7 +78,6 @@
 			return false;
 		entry = g_new0(struct entry, 1);
 		entry->servers = g_ptr_array_new_with_free_func(g_free);
-		entry->first_at = now;
 		g_hash_table_insert(sus->entries, g_memdup2(&key, sizeof(key)),
 				    entry);
 	}
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -196,8 +196,7 @@
 	if (queue->asked_at != 0)
 		ms = MIN(ms, LEND_MS);
 	ms = MAX(ms, 1);
-	tv.tv_sec = ms / 1000;
-	tv.tv_usec = (ms % 1000) * 1000;
+	tv = clock_timeval(ms);
 	event_add(queue->timer, &tv);
 }
 
--- a/serve/beliefs.c
+++ b/serve/beliefs.c
@@ -52,8 +52,7 @@
 
 static void ask_later(struct follow *follow, int64_t ms)
 {
-	struct timeval tv = {.tv_sec = ms / 1000,
-			     .tv_usec = (ms % 1000) * 1000};
+	struct timeval tv = clock_timeval(ms);
 
 	event_add(follow->timer, &tv);
 }
@@ -209,8 +208,7 @@
 
 static void remove_lapsed_in(struct blf *blf, int64_t ms)
 {
-	struct timeval tv = {.tv_sec = ms / 1000,
-			     .tv_usec = (ms % 1000) * 1000};
+	struct timeval tv = clock_timeval(ms);
 
 	event_add(blf->lapse_timer, &tv);
 }
--- a/serve/clock.h
+++ b/serve/clock.h
@@ -6,6 +6,7 @@
 #define APS_CLOCK_H
 
 #include <stdint.h>
+#include <sys/time.h>
 #include <time.h>
 
 /** CLOCK_BOOTTIME in milliseconds: time during a suspend counts. */
@@ -18,4 +19,13 @@
 	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
 
+/** @p ms as the event loop wants it. */
+static inline struct timeval clock_timeval(int64_t ms)
+{
+	struct timeval tv = {.tv_sec = ms / 1000,
+			     .tv_usec = (ms % 1000) * 1000};
+
+	return tv;
+}
+
 #endif
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -121,8 +121,7 @@
 
 void xch_set_timer(struct event *timer, int64_t ms)
 {
-	struct timeval tv = {.tv_sec = ms / 1000,
-			     .tv_usec = (ms % 1000) * 1000};
+	struct timeval tv = clock_timeval(ms);
 
 	event_add(timer, &tv);
 }
--- a/serve/members.c
+++ b/serve/members.c
@@ -474,8 +474,7 @@
 {
 	struct mbr *mbr = arg;
 	int64_t ms = renew_ms(mbr);
-	struct timeval tv = {.tv_sec = ms / 1000,
-			     .tv_usec = (ms % 1000) * 1000};
+	struct timeval tv = clock_timeval(ms);
 
 	(void)fd;
 	(void)what;
@@ -506,8 +505,7 @@
 
 static struct event *repeat(struct mbr *mbr, int ms, event_callback_fn fn)
 {
-	struct timeval tv = {.tv_sec = ms / 1000,
-			     .tv_usec = (ms % 1000) * 1000};
+	struct timeval tv = clock_timeval(ms);
 	struct event *timer =
 		event_new(mbr->config.base, -1, EV_PERSIST, fn, mbr);
 
--- a/serve/stats.c
+++ b/serve/stats.c
@@ -55,11 +55,6 @@
 	counters[counter]++;
 }
 
-uint64_t sts_get(enum sts_counter counter)
-{
-	return counters[counter];
-}
-
 void sts_time(enum sts_latency latency, int64_t ms)
 {
 	guint i = 0;
--- a/serve/stats.h
+++ b/serve/stats.h
@@ -50,7 +50,6 @@
 };
 
 void sts_count(enum sts_counter counter);
-uint64_t sts_get(enum sts_counter counter);
 /** Adds one measured time. */
 void sts_time(enum sts_latency latency, int64_t ms);
 /** Appends everything in the text exposition format. */
--- a/serve/turns.c
+++ b/serve/turns.c
@@ -275,7 +275,7 @@
 
 static void retry_later(struct program *program)
 {
-	struct timeval tv = {.tv_usec = program->retry_ms * 1000};
+	struct timeval tv = clock_timeval(program->retry_ms);
 
 	event_add(program->retry, &tv);
 	program->retry_ms = MIN(program->retry_ms * 2, RETRY_MOST_MS);
--- a/serve/upstream.c
+++ b/serve/upstream.c
@@ -8,6 +8,7 @@
 #include <event2/bufferevent.h>
 #include <http_parser.h>
 
+#include "clock.h"
 #include "hdr.h"
 #include "upstream.h"
 
@@ -79,8 +80,7 @@
 
 static void set_expiry(struct conn *conn, int64_t ms)
 {
-	struct timeval tv = {.tv_sec = ms / 1000,
-			     .tv_usec = (ms % 1000) * 1000};
+	struct timeval tv = clock_timeval(ms);
 
 	event_add(conn->expiry, &tv);
 }
