Programs expire and are removed; long histories are kept and read whole

Reading the code for it showed two more faults: a text of more than about 16 rows was one transaction over the store's 1 MB, refused and sent again for ever; and a text whose rows crossed a page of a reading was lost from the history (503).

Change: each program has a row that says until when it is kept, by the store's clock, written at most once in a retention; one instance for each part (by rendezvous) removes what has expired, on the version of that row. A turn that continues another program's turn takes that history along, since the two are kept for different times. Long texts go out in several transactions, the row that makes it a turn last; readings carry a text over pages. The store's stand-in now holds the published bounds (1 MB, 100 entries, 64 KiB a row).

Ruled out: an index by time buckets (a program stands in many), reading whole parts to find what is old (bytes), removing on the clock alone (a program that goes on would lose its beginning).

--- a/decide/history.c
+++ b/decide/history.c
@@ -10,7 +10,9 @@
 struct turn {
 	char *key;
 	char *previous;
+	char *owner;
 	GBytes *text;
+	int64_t used_at;
 	GList link; /* in hst.used, the most recent first */
 };
 
@@ -24,7 +26,7 @@
 static uint64_t turn_bytes(const struct turn *turn)
 {
 	return g_bytes_get_size(turn->text) + sizeof(*turn) +
-	       strlen(turn->key) + strlen(turn->previous);
+	       strlen(turn->key) + strlen(turn->previous) + strlen(turn->owner);
 }
 
 static void turn_drop(struct hst *hst, struct turn *turn)
@@ -35,6 +37,7 @@
 	g_bytes_unref(turn->text);
 	g_free(turn->key);
 	g_free(turn->previous);
+	g_free(turn->owner);
 	g_free(turn);
 }
 
@@ -59,7 +62,7 @@
 }
 
 void hst_put(struct hst *hst, const char *key, const char *previous,
-	     GBytes *text)
+	     const char *owner, GBytes *text, int64_t now)
 {
 	struct turn *turn;
 
@@ -68,6 +71,8 @@
 	turn = g_new0(struct turn, 1);
 	turn->key = g_strdup(key);
 	turn->previous = g_strdup(previous);
+	turn->owner = g_strdup(owner);
+	turn->used_at = now;
 	turn->text = g_bytes_ref(text);
 	turn->link.data = turn;
 	g_hash_table_insert(hst->turns, turn->key, turn);
@@ -77,11 +82,13 @@
 		turn_drop(hst, hst->used.tail->data);
 }
 
-char *hst_join(struct hst *hst, const char *key, GByteArray *text)
+char *hst_join(struct hst *hst, const char *key, const char *owner, int64_t now,
+	       GByteArray *text, bool *foreign)
 {
 	GPtrArray *chain = g_ptr_array_new();
 	char *missing = NULL;
 
+	*foreign = false;
 	while (*key != '\0') {
 		struct turn *turn = g_hash_table_lookup(hst->turns, key);
 
@@ -91,6 +98,8 @@
 		}
 		g_queue_unlink(&hst->used, &turn->link);
 		g_queue_push_head_link(&hst->used, &turn->link);
+		turn->used_at = now;
+		*foreign |= strcmp(turn->owner, owner) != 0;
 		g_ptr_array_add(chain, turn);
 		key = turn->previous;
 	}
@@ -105,6 +114,18 @@
 	return missing;
 }
 
+void hst_forget(struct hst *hst, int64_t since)
+{
+	struct turn *turn;
+
+	while (hst->used.tail != NULL) {
+		turn = hst->used.tail->data;
+		if (turn->used_at >= since)
+			return;
+		turn_drop(hst, turn);
+	}
+}
+
 uint64_t hst_bytes(const struct hst *hst)
 {
 	return hst->bytes;
--- a/decide/history.h
+++ b/decide/history.h
@@ -8,6 +8,7 @@
 #ifndef APS_HISTORY_H
 #define APS_HISTORY_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include <glib.h>
@@ -19,16 +20,23 @@
 struct hst *hst_create(uint64_t most_bytes);
 void hst_destroy(struct hst *hst);
 
-/** Adds a turn: @p previous is the key of the one before it, or "". */
+/** Adds a turn of program @p owner: @p previous is the key of the one before
+ * it, or "". */
 void hst_put(struct hst *hst, const char *turn, const char *previous,
-	     GBytes *text);
+	     const char *owner, GBytes *text, int64_t now);
 /**
  * Joins the texts of a chain, oldest first, into @p text.
  *
+ * @param owner   the program that asks
+ * @param foreign set if a turn of the chain is another program's
  * @return NULL if the chain is whole; otherwise the key of the first turn
  *         that is not at hand, to be freed
  */
-char *hst_join(struct hst *hst, const char *turn, GByteArray *text);
+char *hst_join(struct hst *hst, const char *turn, const char *owner,
+	       int64_t now, GByteArray *text, bool *foreign);
+/** Drops turns that were last used before @p since: what the store has removed
+ * must not be continued from here. */
+void hst_forget(struct hst *hst, int64_t since);
 /** Bytes at hand. */
 uint64_t hst_bytes(const struct hst *hst);
 
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -188,25 +188,17 @@
 	return word->demand * bucket->demand / own;
 }
 
-/* The order of an instance among the homes of an account. */
-static uint64_t home_order(const char *account, const char *instance)
-{
-	uint64_t order = rng_hash(account) ^ rng_hash(instance);
-
-	return rng_mix(order);
-}
-
 /* The home of an account among the instances that are known. */
 static const char *home_of(const struct qta *qta, const char *account)
 {
 	const char *home = qta->id;
-	uint64_t most = home_order(account, home);
+	uint64_t most = rng_rank(account, home);
 	GHashTableIter it;
 	gpointer other;
 
 	g_hash_table_iter_init(&it, qta->alive);
 	while (g_hash_table_iter_next(&it, &other, NULL)) {
-		uint64_t order = home_order(account, other);
+		uint64_t order = rng_rank(account, other);
 
 		if (order <= most)
 			continue;
--- a/decide/rng.h
+++ b/decide/rng.h
@@ -52,4 +52,11 @@
 	return rng_mix(h);
 }
 
+/** The rank of @p b for @p a: the same everywhere, and different for each
+ * (rendezvous hashing). */
+static inline uint64_t rng_rank(const char *a, const char *b)
+{
+	return rng_mix(rng_hash(a) ^ rng_hash(b));
+}
+
 #endif
--- a/proto/rows.pb-c.c
+++ b/proto/rows.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &rows__turn__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rows__expiry__init
+                     (Rows__Expiry         *message)
+{
+  static const Rows__Expiry init_value = ROWS__EXPIRY__INIT;
+  *message = init_value;
+}
+size_t rows__expiry__get_packed_size
+                     (const Rows__Expiry *message)
+{
+  assert(message->base.descriptor == &rows__expiry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rows__expiry__pack
+                     (const Rows__Expiry *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rows__expiry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rows__expiry__pack_to_buffer
+                     (const Rows__Expiry *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rows__expiry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rows__Expiry *
+       rows__expiry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rows__Expiry *)
+     protobuf_c_message_unpack (&rows__expiry__descriptor,
+                                allocator, len, data);
+}
+void   rows__expiry__free_unpacked
+                     (Rows__Expiry *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rows__expiry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rows__member__init
                      (Rows__Member         *message)
 {
@@ -610,6 +655,44 @@
   (ProtobufCMessageInit) rows__turn__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rows__expiry__field_descriptors[1] =
+{
+  {
+    "at_ms",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Expiry, at_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rows__expiry__field_indices_by_name[] = {
+  0,   /* field[0] = at_ms */
+};
+static const ProtobufCIntRange rows__expiry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor rows__expiry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rows.Expiry",
+  "Expiry",
+  "Rows__Expiry",
+  "rows",
+  sizeof(Rows__Expiry),
+  1,
+  rows__expiry__field_descriptors,
+  rows__expiry__field_indices_by_name,
+  1,  rows__expiry__number_ranges,
+  (ProtobufCMessageInit) rows__expiry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor rows__member__field_descriptors[5] =
 {
   {
--- a/proto/rows.pb-c.h
+++ b/proto/rows.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Rows__Cap Rows__Cap;
 typedef struct Rows__Program Rows__Program;
 typedef struct Rows__Turn Rows__Turn;
+typedef struct Rows__Expiry Rows__Expiry;
 typedef struct Rows__Member Rows__Member;
 typedef struct Rows__Demand Rows__Demand;
 typedef struct Rows__Mark Rows__Mark;
@@ -85,6 +86,19 @@
     , NULL, {0,NULL}, 0 }
 
 
+/*
+ * Until when the rows of a program are kept, by the store's clock.
+ */
+struct  Rows__Expiry
+{
+  ProtobufCMessage base;
+  uint64_t at_ms;
+};
+#define ROWS__EXPIRY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rows__expiry__descriptor) \
+    , 0 }
+
+
 struct  Rows__Member
 {
   ProtobufCMessage base;
@@ -264,6 +278,25 @@
 void   rows__turn__free_unpacked
                      (Rows__Turn *message,
                       ProtobufCAllocator *allocator);
+/* Rows__Expiry methods */
+void   rows__expiry__init
+                     (Rows__Expiry         *message);
+size_t rows__expiry__get_packed_size
+                     (const Rows__Expiry   *message);
+size_t rows__expiry__pack
+                     (const Rows__Expiry   *message,
+                      uint8_t             *out);
+size_t rows__expiry__pack_to_buffer
+                     (const Rows__Expiry   *message,
+                      ProtobufCBuffer     *buffer);
+Rows__Expiry *
+       rows__expiry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rows__expiry__free_unpacked
+                     (Rows__Expiry *message,
+                      ProtobufCAllocator *allocator);
 /* Rows__Member methods */
 void   rows__member__init
                      (Rows__Member         *message);
@@ -408,6 +441,9 @@
 typedef void (*Rows__Turn_Closure)
                  (const Rows__Turn *message,
                   void *closure_data);
+typedef void (*Rows__Expiry_Closure)
+                 (const Rows__Expiry *message,
+                  void *closure_data);
 typedef void (*Rows__Member_Closure)
                  (const Rows__Member *message,
                   void *closure_data);
@@ -438,6 +474,7 @@
 extern const ProtobufCMessageDescriptor rows__cap__descriptor;
 extern const ProtobufCMessageDescriptor rows__program__descriptor;
 extern const ProtobufCMessageDescriptor rows__turn__descriptor;
+extern const ProtobufCMessageDescriptor rows__expiry__descriptor;
 extern const ProtobufCMessageDescriptor rows__member__descriptor;
 extern const ProtobufCMessageDescriptor rows__demand__descriptor;
 extern const ProtobufCMessageDescriptor rows__mark__descriptor;
--- a/serve/beliefs.c
+++ b/serve/beliefs.c
@@ -72,8 +72,7 @@
 		const struct rst_row *last = &g_array_index(
 			answer->rows, struct rst_row, answer->rows->len - 1);
 
-		/* The first key after the last one. */
-		follow->from = g_strconcat(last->key, "\x01", NULL);
+		follow->from = rst_key_after(last->key);
 		return;
 	}
 	follow->whole(follow->blf);
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -207,6 +207,7 @@
 		.budget = x->call.budget,
 		.most = x->call.most_tokens,
 		.retain = x->route->retain,
+		.retention_ms = x->route->retention_ms,
 	};
 
 	x->granted = x->call.budget == 0;
--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -13,6 +13,7 @@
 #include "settings.h"
 #include "slog.h"
 #include "stats.h"
+#include "sweeper.h"
 
 enum {
 	TICK_MS = 200,	     /* logs, and the steps of a stop */
@@ -41,6 +42,8 @@
 	FIELD(revoke_ms, SET_ROUNDED, false, 5000, 2000, 600000),
 	FIELD(quota_slack, SET_ROUNDED, false, 0, 0, 1000000),
 	FIELD(cache_kb, SET_NUMBER, false, 3072, 64, 1048576),
+	/* Sixteen ticks sweep the whole store. */
+	FIELD(sweep_ms, SET_NUMBER, false, 4000, 10, 3600000),
 };
 
 struct gw {
@@ -52,6 +55,7 @@
 	struct in *ready;
 	struct in *metrics;
 	struct rly *relay;
+	struct swp *sweeper;
 	struct event *signals[3];
 	struct event *tick;
 	int64_t stop_at; /* when SIGTERM came; 0: it has not */
@@ -369,6 +373,9 @@
 	if (shared->members == NULL)
 		fprintf(stderr, "apricotshift: datagrams on %s: %s\n",
 			settings->peers, strerror(errno));
+	if (shared->members != NULL)
+		gw->sweeper = swp_create(gw->base, shared->store,
+					 shared->members, settings->sweep_ms);
 	return shared->members != NULL;
 }
 
@@ -408,6 +415,7 @@
 	in_destroy(gw->ready);
 	in_destroy(gw->metrics);
 	rly_destroy(gw->relay);
+	swp_destroy(gw->sweeper);
 	mbr_destroy(shared->members);
 	blf_destroy(shared->beliefs);
 	trn_destroy(shared->programs);
--- a/serve/members.c
+++ b/serve/members.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "clock.h"
+#include "decide/rng.h"
 #include "members.h"
 #include "proto/message.h"
 #include "proto/rows.pb-c.h"
@@ -581,6 +582,23 @@
 	return false;
 }
 
+bool mbr_is_first(const struct mbr *mbr, const char *task)
+{
+	uint64_t ours = rng_rank(task, mbr->config.id);
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, mbr->members);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct member *member = p;
+
+		if (member->counted && !member->leaving &&
+		    rng_rank(task, member->id) > ours)
+			return false;
+	}
+	return true;
+}
+
 const char *mbr_relay(const struct mbr *mbr)
 {
 	int64_t now = clock_boot_ms();
--- a/serve/members.h
+++ b/serve/members.h
@@ -48,6 +48,9 @@
 bool mbr_others_fresh(const struct mbr *mbr);
 /** The address of an instance that reaches the store, or NULL. */
 const char *mbr_relay(const struct mbr *mbr);
+/** Whether a task that one instance has to do falls to this one. While views
+ * differ two may do it, or none. */
+bool mbr_is_first(const struct mbr *mbr, const char *task);
 /** Tells the others of a mark. */
 void mbr_mark(struct mbr *mbr, uint64_t fingerprint, const char *server);
 /** Asks @p instance for requests of an account's quota. */
--- a/serve/stats.c
+++ b/serve/stats.c
@@ -31,6 +31,7 @@
 	[STS_LEFT] = "caller_left_total",
 	[STS_BROKEN_OFF] = "broken_off_total",
 	[STS_TURNS_KEPT] = "turns_kept_total",
+	[STS_PROGRAMS_SWEPT] = "programs_swept_total",
 	[STS_STORE_CALLS] = "store_calls_total",
 	[STS_STORE_FAILED] = "store_failed_total",
 	[STS_STORE_CONFLICTS] = "store_conflicts_total",
--- a/serve/turns.c
+++ b/serve/turns.c
@@ -14,7 +14,6 @@
 #include "turns_int.h"
 
 enum {
-	PIECE_BYTES = 45000, /* fits a row of 64 KiB in base64 */
 	RETRY_FIRST_MS = 15,
 	RETRY_MOST_MS = 250,
 	IDLE_MS = 65000, /* a program that long idle leaves the memory */
@@ -44,7 +43,10 @@
 	part[2] = '\0';
 }
 
-static struct program *program_of(struct trn *trn, const char *key);
+void trn_part_name(int i, char *part)
+{
+	g_snprintf(part, 4, "p%x", (unsigned int)i);
+}
 
 static void on_retry(evutil_socket_t fd, short what, void *arg)
 {
@@ -100,6 +102,7 @@
 		    !program->read && now - program->used_at > IDLE_MS)
 			g_hash_table_iter_remove(&it);
 	}
+	hst_forget(trn->history, now - IDLE_MS);
 }
 
 struct trn *trn_create(struct event_base *base, struct rst *store,
@@ -242,8 +245,9 @@
 {
 	turn->writing = false;
 	turn->kept = true;
-	hst_put(turn->program->trn->history, turn->key, turn->previous,
-		turn->text);
+	hst_put(turn->program->trn->history, turn->key,
+		turn->foreign ? "" : turn->previous, turn->program->key,
+		turn->text, clock_boot_ms());
 	g_bytes_unref(turn->text);
 	turn->text = NULL;
 	sts_count(STS_TURNS_KEPT);
@@ -289,6 +293,10 @@
 	struct trn_turn *next;
 
 	cds_list_for_each_entry_safe(turn, next, &program->turns, node) {
+		if (answer->result == RST_OK)
+			turn->pieces_kept = turn->pieces_sent;
+		else
+			turn->pieces_sent = turn->pieces_kept;
 		if (!turn->writing)
 			continue;
 		turn->writing = false;
@@ -306,6 +314,8 @@
 	program->write = NULL;
 	if (answer->result == RST_OK) {
 		program->retry_ms = RETRY_FIRST_MS;
+		program->expires_at =
+			MAX(program->expires_at, program->writing_expiry);
 		if (program->writing_row) {
 			program->version = answer->version;
 			program->bgt.cap = program->writing_cap;
@@ -328,71 +338,6 @@
 	program_sync(program);
 }
 
-static void put_turn(struct rst_tx *tx, struct program *program,
-		     struct trn_turn *turn)
-{
-	Rows__Turn row = ROWS__TURN__INIT;
-	gsize len;
-	const uint8_t *text = g_bytes_get_data(turn->text, &len);
-	gsize first = MIN(len, PIECE_BYTES);
-	size_t packed_len;
-	uint8_t *packed;
-	char key[2 * KEY_LEN + 8];
-
-	row.previous = turn->previous;
-	row.text.data = (uint8_t *)text;
-	row.text.len = first;
-	row.pieces = (uint32_t)((len - first + PIECE_BYTES - 1) / PIECE_BYTES);
-	packed = msg_pack(&row.base, &packed_len);
-	g_snprintf(key, sizeof(key), "%s/%s", program->key, turn->key);
-	rst_tx_expect(tx, TURNS_TABLE, turn->key, 0);
-	rst_tx_put(tx, TURNS_TABLE, turn->key, program->key,
-		   strlen(program->key));
-	rst_tx_put(tx, PROGRAMS_TABLE, key, packed, packed_len);
-	g_free(packed);
-	for (uint32_t i = 0; i < row.pieces; i++) {
-		gsize at = first + (gsize)i * PIECE_BYTES;
-
-		g_snprintf(key, sizeof(key), "%s/%s/%02u", program->key,
-			   turn->key, i);
-		rst_tx_put(tx, PROGRAMS_TABLE, key, text + at,
-			   MIN(len - at, PIECE_BYTES));
-	}
-	turn->writing = true;
-}
-
-static void put_budget(struct rst_tx *tx, struct program *program)
-{
-	Rows__Program row = ROWS__PROGRAM__INIT;
-	guint n = program->others->len + 1;
-	Rows__Cap *caps = g_new(Rows__Cap, n);
-	Rows__Cap **list = g_new(Rows__Cap *, n);
-	uint8_t *packed;
-	size_t len;
-
-	for (guint i = 0; i < n; i++) {
-		rows__cap__init(&caps[i]);
-		list[i] = &caps[i];
-		if (i == n - 1)
-			break;
-		caps[i].incarnation =
-			g_array_index(program->others, struct cap, i)
-				.incarnation;
-		caps[i].tokens =
-			g_array_index(program->others, struct cap, i).tokens;
-	}
-	caps[n - 1].incarnation = program->trn->incarnation;
-	caps[n - 1].tokens = (uint32_t)program->writing_cap;
-	row.n_caps = n;
-	row.caps = list;
-	packed = msg_pack(&row.base, &len);
-	rst_tx_expect(tx, PROGRAMS_TABLE, program->key, program->version);
-	rst_tx_put(tx, PROGRAMS_TABLE, program->key, packed, len);
-	g_free(packed);
-	g_free(list);
-	g_free(caps);
-}
-
 /* The cap that the turns of a program want now. */
 static uint64_t wanted_cap(struct program *program, bool *urgent)
 {
@@ -432,15 +377,7 @@
 	cap = wanted_cap(program, &urgent);
 	if (!keeps && (!urgent || cap <= program->bgt.cap))
 		return;
-	tx = rst_tx_create(program->part);
-	cds_list_for_each_entry(turn, &program->turns, node) {
-		if (turn->text != NULL)
-			put_turn(tx, program, turn);
-	}
-	program->writing_row = cap > program->bgt.cap;
-	program->writing_cap = cap;
-	if (program->writing_row)
-		put_budget(tx, program);
+	tx = trn_write(program, cap);
 	program->write_began = clock_boot_ms();
 	program->write =
 		rst_tx_send(program->trn->store, tx, on_written, program);
@@ -548,6 +485,7 @@
 			 request->previous);
 	turn->budget = request->budget;
 	turn->most = request->most;
+	turn->retention_ms = request->retention_ms;
 	turn->began = clock_boot_ms();
 	turn->handler = handler;
 	turn->arg = arg;
@@ -572,10 +510,26 @@
 	turn->closed = true;
 }
 
+/*
+ * A turn that continues another program's takes that history along: rows of
+ * the two are kept for different times.
+ */
+static GBytes *with_history(const struct trn_turn *turn, GBytes *text)
+{
+	GByteArray *whole = g_byte_array_new();
+	gsize len;
+	const uint8_t *data = g_bytes_get_data(text, &len);
+
+	g_byte_array_append(whole, turn->history->data, turn->history->len);
+	g_byte_array_append(whole, data, (guint)len);
+	return g_byte_array_free_to_bytes(whole);
+}
+
 void trn_keep(struct trn_turn *turn, GBytes *text, uint64_t used)
 {
 	close_budget(turn, used);
-	turn->text = g_bytes_ref(text);
+	turn->text =
+		turn->foreign ? with_history(turn, text) : g_bytes_ref(text);
 	program_sync(turn->program);
 }
 
--- a/serve/turns.h
+++ b/serve/turns.h
@@ -34,6 +34,7 @@
 	uint64_t budget;      /**< tokens; 0: no limit */
 	uint64_t most;	      /**< tokens that the turn may generate */
 	bool retain;	      /**< the turn is kept, and continues kept ones */
+	int64_t retention_ms; /**< for so long */
 };
 
 /** Who is told; may be called before trn_begin() returns. */
--- a/serve/turns_int.h
+++ b/serve/turns_int.h
@@ -2,7 +2,8 @@
  * @file turns_int.h
  * @brief What the files of turns share; nobody else includes it.
  *
- * turns.c decides about turns and writes rows; turns_load.c reads history.
+ * turns.c decides about turns, turns_write.c puts their rows together and
+ * turns_load.c reads history.
  */
 #ifndef APS_TURNS_INT_H
 #define APS_TURNS_INT_H
@@ -17,11 +18,17 @@
 #define PROGRAMS_TABLE "aps-programs"
 /** From a turn to its program. */
 #define TURNS_TABLE "aps-turns"
+/** Until when the rows of a program are kept. */
+#define EXPIRY_TABLE "aps-expiry"
 
 enum {
 	PARTS = 16,	/**< each commits one transaction after another */
 	KEY_BYTES = 16, /**< of a hash */
 	KEY_LEN = 2 * KEY_BYTES + 1,
+	HEAD_KEY_LEN = 2 * (KEY_LEN - 1) + 1, /**< "PROGRAM/TURN" */
+	/** Rows of a program stay at least so long, in ms: where a route says
+	 * nothing, a program without history may still come back. */
+	KEEP_LEAST_MS = 600000,
 };
 
 /** What another incarnation may hand out. */
@@ -44,6 +51,8 @@
 	struct rst_call *read;
 	uint64_t writing_cap;
 	bool writing_row;
+	int64_t writing_expiry;
+	int64_t expires_at; /* by the store's clock; 0: not known here */
 	int64_t write_began;
 	struct event *retry;
 	int64_t retry_ms;
@@ -69,10 +78,14 @@
 	LOAD_DONE,
 };
 
+/** A text whose rows are being read. */
+struct partial;
+
 /** One read under way. */
 struct load {
 	struct trn_turn *turn;
 	struct rst_call *call;
+	struct partial *partial;
 	char owner[KEY_LEN]; /* whose rows are read; "" for the index */
 };
 
@@ -84,10 +97,12 @@
 	char previous[KEY_LEN];
 	uint64_t budget;
 	uint64_t most;
+	int64_t retention_ms;
 	int64_t began;
 	const struct trn_handler *handler;
 	void *arg;
 	GByteArray *history;
+	bool foreign; /* the history is another program's, or in part */
 	enum load_state load;
 	GPtrArray *loads; /* of struct load */
 	bool load_failed;
@@ -99,13 +114,17 @@
 	bool opened;
 	bool granted;
 	bool closed;
-	GBytes *text; /* to be kept */
-	bool writing; /* in the transaction under way */
+	GBytes *text;	      /* to be kept */
+	uint32_t pieces_kept; /* rows of it that the store has */
+	uint32_t pieces_sent; /* those, and what is under way */
+	bool writing;	      /* in the transaction under way */
 	bool kept;
 };
 
 /** The part that holds the rows of a key: four bytes. */
 void trn_part_of(const char *key, char *part);
+/** The name of the part of that number, below PARTS: four bytes. */
+void trn_part_name(int i, char *part);
 /** Decides about a turn, as far as that is possible now. */
 void trn_step(struct trn_turn *turn);
 /** Tells the caller; the turn may be gone afterwards. */
@@ -114,6 +133,9 @@
 void trn_take_budget(struct program *program, GBytes *value, int64_t version,
 		     int64_t sent_at);
 
+/** Puts what a program has to write into one transaction, and the cap. */
+struct rst_tx *trn_write(struct program *program, uint64_t cap);
+
 /** Looks for a turn's history; returns true once it is at hand. */
 bool trn_load_history(struct trn_turn *turn);
 /** Ends all reads of a turn. */
--- a/serve/turns_load.c
+++ b/serve/turns_load.c
@@ -1,6 +1,7 @@
 /** @file turns_load.c @brief Looks for the history that a turn continues. */
 #include <string.h>
 
+#include "clock.h"
 #include "proto/rows.pb-c.h"
 #include "slog.h"
 #include "turns_int.h"
@@ -11,57 +12,104 @@
 
 static void load_end(struct load *load, bool ok);
 
+void trn_drop_loads(struct trn_turn *turn)
+{
+	g_ptr_array_set_size(turn->loads, 0);
+}
+
+/* A text whose rows are being read: the head came, pieces are missing. */
+struct partial {
+	char key[KEY_LEN];
+	char previous[KEY_LEN];
+	GByteArray *text;
+	uint32_t left; /* pieces */
+};
+
+static void partial_free(struct partial *partial)
+{
+	if (partial == NULL)
+		return;
+	g_byte_array_unref(partial->text);
+	g_free(partial);
+}
+
 void trn_load_free(gpointer p)
 {
 	struct load *load = p;
 
 	if (load->call != NULL)
 		rst_cancel(load->call);
+	partial_free(load->partial);
 	g_free(load);
 }
 
-void trn_drop_loads(struct trn_turn *turn)
+/* Puts a turn that is whole into the history. */
+static void take_whole(struct load *load)
 {
-	g_ptr_array_set_size(turn->loads, 0);
+	struct partial *partial = load->partial;
+	GBytes *text =
+		g_byte_array_free_to_bytes(g_byte_array_ref(partial->text));
+
+	hst_put(load->turn->program->trn->history, partial->key,
+		partial->previous, load->owner, text, clock_boot_ms());
+	g_bytes_unref(text);
+	g_clear_pointer(&load->partial, partial_free);
+}
+
+static void take_head(struct load *load, const struct rst_row *row)
+{
+	gsize len;
+	const uint8_t *data = g_bytes_get_data(row->value, &len);
+	Rows__Turn *turn = rows__turn__unpack(NULL, len, data);
+
+	g_clear_pointer(&load->partial, partial_free);
+	if (turn == NULL) {
+		slog("row_unreadable", NULL, "\"table\":\"%s\",\"key\":%s",
+		     PROGRAMS_TABLE, slog_quote(row->key));
+		return;
+	}
+	load->partial = g_new0(struct partial, 1);
+	g_strlcpy(load->partial->key, row->key + KEY_LEN, KEY_LEN);
+	g_strlcpy(load->partial->previous, turn->previous, KEY_LEN);
+	load->partial->text = g_byte_array_new();
+	g_byte_array_append(load->partial->text, turn->text.data,
+			    (guint)turn->text.len);
+	load->partial->left = turn->pieces;
+	rows__turn__free_unpacked(turn, NULL);
+	if (load->partial->left == 0)
+		take_whole(load);
+}
+
+/* Pieces come in order, after their head; those without one are left over
+ * from a turn that was never kept. */
+static void take_piece(struct load *load, const struct rst_row *row)
+{
+	struct partial *partial = load->partial;
+	gsize len;
+	const uint8_t *data = g_bytes_get_data(row->value, &len);
+
+	if (partial == NULL ||
+	    strncmp(row->key + KEY_LEN, partial->key, KEY_LEN - 1) != 0)
+		return;
+	g_byte_array_append(partial->text, data, (guint)len);
+	if (--partial->left == 0)
+		take_whole(load);
 }
 
 /* Puts the rows of a program's turns into the history. */
-static void take_turns(struct trn *trn, const GArray *rows)
+static void take_turns(struct load *load, const GArray *rows)
 {
 	for (guint i = 0; i < rows->len; i++) {
 		const struct rst_row *row =
 			&g_array_index(rows, struct rst_row, i);
-		Rows__Turn *turn;
-		GByteArray *text;
-		GBytes *bytes;
-		gsize len;
-		const uint8_t *data;
+		size_t len = strlen(row->key);
 
-		if (strlen(row->key) != 2 * (KEY_LEN - 1) + 1 ||
-		    row->value == NULL)
+		if (row->value == NULL)
 			continue;
-		data = g_bytes_get_data(row->value, &len);
-		turn = rows__turn__unpack(NULL, len, data);
-		if (turn == NULL || i + turn->pieces >= rows->len) {
-			if (turn != NULL)
-				rows__turn__free_unpacked(turn, NULL);
-			continue;
-		}
-		text = g_byte_array_new();
-		g_byte_array_append(text, turn->text.data,
-				    (guint)turn->text.len);
-		for (uint32_t k = 1; k <= turn->pieces; k++) {
-			const struct rst_row *piece =
-				&g_array_index(rows, struct rst_row, i + k);
-
-			data = g_bytes_get_data(piece->value, &len);
-			g_byte_array_append(text, data, (guint)len);
-		}
-		bytes = g_byte_array_free_to_bytes(text);
-		hst_put(trn->history, row->key + KEY_LEN, turn->previous,
-			bytes);
-		g_bytes_unref(bytes);
-		rows__turn__free_unpacked(turn, NULL);
+		if (len == HEAD_KEY_LEN)
+			take_head(load, row);
+		else if (len > HEAD_KEY_LEN)
+			take_piece(load, row);
 	}
 }
 
@@ -77,7 +125,7 @@
 		load_end(load, false);
 		return;
 	}
-	take_turns(program->trn, answer->rows);
+	take_turns(load, answer->rows);
 	if (strcmp(load->owner, program->key) == 0 && answer->rows->len > 0) {
 		const struct rst_row *row =
 			&g_array_index(answer->rows, struct rst_row, 0);
@@ -89,8 +137,10 @@
 	if (answer->more && answer->rows->len > 0) {
 		const struct rst_row *row = &g_array_index(
 			answer->rows, struct rst_row, answer->rows->len - 1);
+		char *from = rst_key_after(row->key);
 
-		read_rows_of(load, row->key);
+		read_rows_of(load, from);
+		g_free(from);
 		return;
 	}
 	load_end(load, true);
@@ -143,8 +193,9 @@
 	g_snprintf(to, sizeof(to), "%s!", turn->missing);
 	for (int i = 0; i < PARTS; i++) {
 		struct load *load = load_add(turn, "");
-		char part[4] = {'p', "0123456789abcdef"[i], '\0'};
+		char part[4];
 
+		trn_part_name(i, part);
 		load->call = rst_get(turn->program->trn->store, TURNS_TABLE,
 				     part, turn->missing, to, on_index, load);
 	}
@@ -187,7 +238,8 @@
 
 	g_byte_array_set_size(turn->history, 0);
 	missing = hst_join(turn->program->trn->history, turn->previous,
-			   turn->history);
+			   turn->program->key, clock_boot_ms(), turn->history,
+			   &turn->foreign);
 	if (missing == NULL) {
 		turn->load = LOAD_DONE;
 		return true;
--- a/test/standins/rowstore.c
+++ b/test/standins/rowstore.c
@@ -11,6 +11,9 @@
 
 enum {
 	ROWS_MOST = 500, /* in one answer */
+	ENTRIES_MOST = 100,
+	CALL_BYTES_MOST = 1000000,
+	ROW_BYTES_MOST = 65536,
 	FEED_TICK_MS = 5,
 };
 
@@ -40,6 +43,7 @@
 	GTree *rows; /* "table\npart\nkey" -> struct row */
 	int64_t version;
 	int64_t oldest; /* history before it is gone */
+	int64_t ahead;	/* of our clock */
 	GPtrArray *feeds;
 };
 
@@ -115,8 +119,9 @@
 	json_object_object_add(root, "has_more", json_object_new_boolean(more));
 	json_object_object_add(root, "ver",
 			       json_object_new_int64(srs->version));
-	json_object_object_add(root, "now_ms",
-			       json_object_new_int64(clock_boot_ms()));
+	json_object_object_add(
+		root, "now_ms",
+		json_object_new_int64(clock_boot_ms() + srs->ahead));
 	text = json_object_to_json_string(root);
 	in_reply(request, status, "Content-Type: application/json\r\n", text,
 		 strlen(text));
@@ -146,6 +151,7 @@
 	const char *to;
 	int64_t after; /* -1: rows that are there; else newer ones */
 	json_object *rows;
+	size_t bytes;
 	bool more;
 };
 
@@ -166,7 +172,10 @@
 	    strcmp(row->key, scan->from) < 0 ||
 	    (*scan->to != '\0' && strcmp(row->key, scan->to) >= 0))
 		return FALSE;
-	if (json_object_array_length(scan->rows) >= ROWS_MOST) {
+	scan->bytes += strlen(row->value);
+	if (json_object_array_length(scan->rows) >= ROWS_MOST ||
+	    (scan->bytes > CALL_BYTES_MOST &&
+	     json_object_array_length(scan->rows) > 0)) {
 		scan->more = true;
 		return TRUE;
 	}
@@ -181,7 +190,7 @@
 	char *from = field(request, "from");
 	char *to = field(request, "to");
 	struct scan scan = {table, part, from, to, -1, json_object_new_array(),
-			    false};
+			    0,	   false};
 
 	g_tree_foreach(srs->rows, scan_row, &scan);
 	answer(srs, request, 200, scan.rows, scan.more);
@@ -202,7 +211,8 @@
 /* Returns true if the feed was answered. */
 static bool feed_step(struct srs *srs, struct feed *feed)
 {
-	struct scan scan = {feed->table, "", "", "", feed->after, NULL, false};
+	struct scan scan = {feed->table, "",   "", "",
+			    feed->after, NULL, 0,  false};
 
 	scan.rows = json_object_new_array();
 	g_tree_foreach(srs->rows, scan_row, &scan);
@@ -277,6 +287,21 @@
 	return ok;
 }
 
+/* Whether a transaction is within the published bounds. */
+static bool fits(const struct in_request *request, json_object *expected,
+		 json_object *put, json_object *drop)
+{
+	if (request->body->len > CALL_BYTES_MOST ||
+	    length(expected) + length(put) + length(drop) > ENTRIES_MOST)
+		return false;
+	for (size_t i = 0; i < length(put); i++) {
+		if (strlen(text(json_object_array_get_idx(put, i), "value")) >
+		    ROW_BYTES_MOST)
+			return false;
+	}
+	return true;
+}
+
 static void transact(struct srs *srs, struct in_request *request)
 {
 	char *body = g_strndup((const char *)request->body->data,
@@ -287,6 +312,12 @@
 	json_object *drop = list(root, "remove");
 
 	g_free(body);
+	if (!fits(request, list(root, "expected_rev"), put, drop)) {
+		json_object_put(root);
+		json_object_put(rows);
+		answer(srs, request, 413, NULL, false);
+		return;
+	}
 	if (!holds(srs, list(root, "expected_rev"), rows)) {
 		json_object_put(root);
 		answer(srs, request, 412, rows, false);
@@ -462,3 +493,36 @@
 	g_tree_foreach(srs->rows, count_row, &count);
 	return count.n;
 }
+
+void srs_advance(struct srs *srs, int64_t ms)
+{
+	srs->ahead += ms;
+}
+
+int64_t srs_version(const struct srs *srs)
+{
+	return srs->version;
+}
+
+struct drop {
+	int64_t version;
+};
+
+static gboolean drop_row(gpointer name, gpointer value, gpointer arg)
+{
+	struct row *row = value;
+	const struct drop *drop = arg;
+
+	(void)name;
+	if (g_str_has_prefix(row->table, "aps-") &&
+	    row->version <= drop->version)
+		g_clear_pointer(&row->value, g_free);
+	return FALSE;
+}
+
+void srs_drop_until(struct srs *srs, int64_t version)
+{
+	struct drop drop = {version};
+
+	g_tree_foreach(srs->rows, drop_row, &drop);
+}
--- a/test/standins/rowstore.h
+++ b/test/standins/rowstore.h
@@ -33,6 +33,12 @@
 	     const char *key, const char *value);
 /** Forgets the history: feeds have to begin again. */
 void srs_compact(struct srs *srs);
+/** Lets the store's clock go ahead by @p ms. */
+void srs_advance(struct srs *srs, int64_t ms);
+/** Its newest version. */
+int64_t srs_version(const struct srs *srs);
+/** Removes the instances' rows that are not newer than @p version. */
+void srs_drop_until(struct srs *srs, int64_t version);
 /** How many rows a table has. */
 guint srs_rows(const struct srs *srs, const char *table);
 
--- a/test/unit/test_request.c
+++ b/test/unit/test_request.c
@@ -104,28 +104,29 @@
 	GBytes *two = g_bytes_new("two\n", 4);
 	GBytes *big = g_bytes_new_take(g_malloc0(700), 700);
 	char *missing;
+	bool foreign;
 
 	(void)state;
-	hst_put(hst, "t2", "t1", two);
-	missing = hst_join(hst, "t2", text);
+	hst_put(hst, "t2", "t1", "p", two, 0);
+	missing = hst_join(hst, "t2", "p", 0, text, &foreign);
 	assert_string_equal(missing, "t1");
 	g_free(missing);
-	hst_put(hst, "t1", "", one);
+	hst_put(hst, "t1", "", "p", one, 0);
 	g_byte_array_set_size(text, 0);
-	assert_null(hst_join(hst, "t2", text));
+	assert_null(hst_join(hst, "t2", "p", 0, text, &foreign));
 	assert_int_equal(text->len, 8);
 	assert_memory_equal(text->data, "one\ntwo\n", 8);
 	for (int i = 0; i < 10; i++) {
 		char key[8];
 
 		g_snprintf(key, sizeof(key), "b%d", i);
-		hst_put(hst, key, "", big);
+		hst_put(hst, key, "", "p", big, 0);
 	}
 	assert_true(hst_bytes(hst) <= 2000);
 	/* A loop in the rows is not followed for ever. */
-	hst_put(hst, "x", "y", one);
-	hst_put(hst, "y", "x", one);
-	missing = hst_join(hst, "x", text);
+	hst_put(hst, "x", "y", "p", one, 0);
+	hst_put(hst, "y", "x", "p", one, 0);
+	missing = hst_join(hst, "x", "p", 0, text, &foreign);
 	assert_non_null(missing);
 	g_free(missing);
 	g_bytes_unref(one);
