--- a/decide/catalog.c
+++ b/decide/catalog.c
@@ -218,3 +218,51 @@
 	}
 	return NULL;
 }
+
+void cat_foreach_account(const struct cat *cat,
+			 void (*fn)(const struct cat_account *, void *),
+			 void *arg)
+{
+	GHashTableIter it;
+	gpointer account;
+
+	g_hash_table_iter_init(&it, cat->accounts);
+	while (g_hash_table_iter_next(&it, NULL, &account))
+		fn(account, arg);
+}
+
+void cat_foreach_route(const struct cat *cat,
+		       void (*fn)(const struct cat_route *, void *), void *arg)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, cat->hosts);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const GPtrArray *routes = p;
+
+		for (guint i = 0; i < routes->len; i++)
+			fn(g_ptr_array_index(routes, i), arg);
+	}
+}
+
+guint cat_keys_missing(const struct cat *cat, const struct cat *other,
+		       const struct cat_account *account)
+{
+	GHashTableIter it;
+	gpointer key;
+	gpointer holder;
+	guint missing = 0;
+
+	g_hash_table_iter_init(&it, cat->keys);
+	while (g_hash_table_iter_next(&it, &key, &holder)) {
+		const struct cat_account *there =
+			other ? cat_find_key(other, key) : NULL;
+
+		if (holder != account)
+			continue;
+		missing += there == NULL ||
+			   strcmp(there->name, account->name) != 0;
+	}
+	return missing;
+}
--- a/decide/catalog.h
+++ b/decide/catalog.h
@@ -118,4 +118,16 @@
 const struct cat_service *
 cat_choose(const struct cat *cat, const struct cat_route *route, uint64_t hash);
 
+/** Calls @p fn for each account. */
+void cat_foreach_account(const struct cat *cat,
+			 void (*fn)(const struct cat_account *, void *),
+			 void *arg);
+/** Calls @p fn for each route. */
+void cat_foreach_route(const struct cat *cat,
+		       void (*fn)(const struct cat_route *, void *), void *arg);
+/** How many keys of @p account in @p cat do not stand for it in @p other, which
+ * may be NULL. */
+guint cat_keys_missing(const struct cat *cat, const struct cat *other,
+		       const struct cat_account *account);
+
 #endif
--- /dev/null
+++ b/decide/catdiff.c
@@ -0,0 +1,116 @@
+/** @file catdiff.c @brief What a version of the configuration changes. */
+#include <string.h>
+
+#include "catdiff.h"
+
+struct diff {
+	const struct cat *from;
+	const struct cat *to;
+	cat_change *fn;
+	void *arg;
+};
+
+static void account_changed(const struct cat_account *account, void *arg)
+{
+	const struct diff *diff = arg;
+	const struct cat_account *old =
+		diff->from ? cat_find_account(diff->from, account->name) : NULL;
+	guint taken = old ? cat_keys_missing(diff->from, diff->to, old) : 0;
+	guint given = cat_keys_missing(diff->to, diff->from, account);
+	char details[160];
+
+	if (old != NULL && old->rate == account->rate &&
+	    old->burst == account->burst &&
+	    old->priority == account->priority && taken + given == 0)
+		return;
+	g_snprintf(details, sizeof(details),
+		   "\"rate\":%g,\"burst\":%g,\"priority\":%d,"
+		   "\"keys_taken\":%u,\"keys_given\":%u",
+		   account->rate, account->burst, account->priority, taken,
+		   given);
+	diff->fn("account", account->name, old ? "changed" : "added", details,
+		 diff->arg);
+}
+
+static void account_gone(const struct cat_account *account, void *arg)
+{
+	const struct diff *diff = arg;
+
+	if (cat_find_account(diff->to, account->name) == NULL)
+		diff->fn("account", account->name, "removed", "", diff->arg);
+}
+
+static bool same_targets(const struct cat_route *a, const struct cat_route *b)
+{
+	if (a->targets->len != b->targets->len)
+		return false;
+	for (guint i = 0; i < a->targets->len; i++) {
+		const struct cat_target *x =
+			&g_array_index(a->targets, struct cat_target, i);
+		const struct cat_target *y =
+			&g_array_index(b->targets, struct cat_target, i);
+
+		if (strcmp(x->service, y->service) != 0 ||
+		    x->weight != y->weight)
+			return false;
+	}
+	return true;
+}
+
+static bool same_route(const struct cat_route *a, const struct cat_route *b)
+{
+	return a->kind == b->kind && a->timeout_ms == b->timeout_ms &&
+	       a->target_ms == b->target_ms && a->pause_ms == b->pause_ms &&
+	       a->retention_ms == b->retention_ms &&
+	       a->attempts == b->attempts && a->priority == b->priority &&
+	       a->open == b->open && a->resumable == b->resumable &&
+	       a->retain == b->retain && same_targets(a, b);
+}
+
+/* The route of the same host and prefix, or NULL. */
+static const struct cat_route *counterpart(const struct cat *cat,
+					   const struct cat_route *route)
+{
+	const struct cat_route *found =
+		cat ? cat_find_route(cat, route->host, route->prefix) : NULL;
+
+	return found != NULL && strcmp(found->prefix, route->prefix) == 0
+		       ? found
+		       : NULL;
+}
+
+static void route_changed(const struct cat_route *route, void *arg)
+{
+	const struct diff *diff = arg;
+	const struct cat_route *old = counterpart(diff->from, route);
+	char details[80];
+
+	if (old != NULL && same_route(old, route))
+		return;
+	g_snprintf(details, sizeof(details),
+		   "\"timeout_ms\":%" G_GINT64_FORMAT ",\"services\":%u",
+		   route->timeout_ms, route->targets->len);
+	diff->fn("route", route->name, old ? "changed" : "added", details,
+		 diff->arg);
+}
+
+static void route_gone(const struct cat_route *route, void *arg)
+{
+	const struct diff *diff = arg;
+
+	if (counterpart(diff->to, route) == NULL)
+		diff->fn("route", route->name, "removed", "", diff->arg);
+}
+
+void cat_diff(const struct cat *from, const struct cat *to, cat_change *fn,
+	      void *arg)
+{
+	struct diff diff = {from, to, fn, arg};
+
+	cat_foreach_account(to, account_changed, &diff);
+	cat_foreach_route(to, route_changed, &diff);
+	if (from == NULL)
+		return;
+	cat_foreach_account(from, account_gone, &diff);
+	cat_foreach_route(from, route_gone, &diff);
+}
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -400,6 +400,21 @@
 	bucket_of(qta, account)->tokens += 1.0;
 }
 
+void qta_look(const struct qta *qta, const char *account, struct qta_view *view)
+{
+	const struct bucket *bucket =
+		g_hash_table_lookup(qta->buckets, account);
+
+	memset(view, 0, sizeof(*view));
+	view->instances = qta->instances;
+	if (bucket == NULL)
+		return;
+	view->tokens = bucket->tokens;
+	view->share = bucket->share;
+	view->demand = bucket->demand;
+	view->home = bucket->home;
+}
+
 void qta_foreach(struct qta *qta, int64_t now, qta_word *fn, void *arg)
 {
 	GHashTableIter it;
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -89,6 +89,19 @@
 /** Gives back one request that was taken and has not run. */
 void qta_give_back(struct qta *qta, const char *account);
 
+/** What the last decision about an account rested on. */
+struct qta_view {
+	double tokens; /**< at hand, without those lent by others */
+	double share;  /**< the part of rate and burst that is ours */
+	double demand; /**< requests a second asked of this instance */
+	uint32_t instances;
+	bool home; /**< nearly all of the limit lies here */
+};
+
+/** Looks at an account without changing anything. */
+void qta_look(const struct qta *qta, const char *account,
+	      struct qta_view *view);
+
 /** Takes the word on one account: what this instance is asked for, and what
  * it could send at once. */
 typedef void qta_word(const char *account, double per_s, double tokens,
--- a/serve/beliefs.c
+++ b/serve/beliefs.c
@@ -5,6 +5,7 @@
 
 #include "beliefs.h"
 #include "clock.h"
+#include "decide/catdiff.h"
 #include "platform/wire.h"
 #include "slog.h"
 #include "stats.h"
@@ -127,6 +128,18 @@
 				       NULL, on_answer, follow);
 }
 
+static void log_change(const char *thing, const char *name, const char *change,
+		       const char *details, void *arg)
+{
+	const struct cat *cat = arg;
+
+	slog("changed", NULL,
+	     "\"config\":%" G_GINT64_FORMAT
+	     ",\"thing\":\"%s\",\"name\":%s,\"change\":\"%s\"%s%s",
+	     cat_version(cat), thing, slog_quote(name), change,
+	     *details ? "," : "", details);
+}
+
 static void take_config(struct blf *blf, const struct rst_row *row)
 {
 	char *fault = NULL;
@@ -149,10 +162,15 @@
 		cat_unref(cat);
 		return;
 	}
+	slog("config", NULL,
+	     "\"version\":%" G_GINT64_FORMAT ",\"before\":%" G_GINT64_FORMAT
+	     ",\"row_version\":%" G_GINT64_FORMAT,
+	     cat_version(cat), blf->cat ? cat_version(blf->cat) : 0,
+	     row->version);
+	cat_diff(blf->cat, cat, log_change, cat);
 	cat_unref(blf->cat);
 	blf->cat = cat;
 	sts_count(STS_CONFIGS);
-	slog("config", NULL, "\"version\":%" G_GINT64_FORMAT, cat_version(cat));
 	blf->changed(blf->arg, cat);
 }
 
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -234,6 +234,22 @@
 	       !g_hash_table_contains(x->shared->sessions, x->call.program);
 }
 
+/* What a refusal for want of quota rested on. */
+static void log_quota(const struct xch *x)
+{
+	struct qta_view view;
+
+	qta_look(x->shared->quota, x->account->name, &view);
+	slog("quota", x->call.id,
+	     "\"account\":%s,\"rate\":%g,\"burst\":%g,\"tokens\":%.2f,"
+	     "\"share\":%.3f,\"demand\":%.2f,\"instances\":%u,"
+	     "\"home\":%s,\"begins\":%s",
+	     slog_quote(x->account->name), x->account->rate, x->account->burst,
+	     view.tokens, view.share, view.demand, view.instances,
+	     view.home ? "true" : "false",
+	     begins_program(x) ? "true" : "false");
+}
+
 static void on_admitted(void *arg, bool admitted, int64_t wait_ms)
 {
 	struct xch *x = arg;
@@ -244,6 +260,7 @@
 		proceed(x);
 		return;
 	}
+	log_quota(x);
 	sts_count(STS_REFUSED_QUOTA);
 	xch_reply_own(x, 429, "over quota", wait_ms);
 }
--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -17,6 +17,7 @@
 
 enum {
 	TICK_MS = 200,	     /* logs, and the steps of a stop */
+	TOTALS_TICKS = 50,   /* between two lines of totals: 10 s */
 	LISTEN_ON_MS = 3200, /* the balancer asks each second, twice */
 	END_EARLY_MS = 500,  /* before the process is killed */
 	KEY_SLACK_MS = 1500, /* watchers may be a second behind, and a
@@ -42,8 +43,8 @@
 	FIELD(revoke_ms, SET_ROUNDED, false, 5000, 2000, 600000),
 	FIELD(quota_slack, SET_ROUNDED, false, 0, 0, 1000000),
 	FIELD(cache_kb, SET_NUMBER, false, 3072, 64, 1048576),
-	/* Sixteen ticks sweep the whole store. */
-	FIELD(sweep_ms, SET_NUMBER, false, 4000, 10, 3600000),
+	/* As long as rows are kept at least: they stay for two such times. */
+	FIELD(sweep_ms, SET_NUMBER, false, 600000, 1, 86400000),
 };
 
 struct gw {
@@ -59,6 +60,7 @@
 	struct event *signals[3];
 	struct event *tick;
 	int64_t stop_at; /* when SIGTERM came; 0: it has not */
+	uint32_t ticks;
 	bool was_ready;
 	bool stopped;
 };
@@ -269,6 +271,28 @@
 	}
 }
 
+/* What was done since the start, so that a log alone shows rates. */
+static void log_totals(struct gw *gw)
+{
+	guint conns;
+	guint requests;
+
+	in_count(gw->callers, &conns, &requests);
+	slog("totals", NULL,
+	     "\"connections\":%u,\"requests\":%u,\"instances\":%u,"
+	     "\"servers\":%u,\"asked\":%" G_GUINT64_FORMAT
+	     ",\"sent\":%" G_GUINT64_FORMAT
+	     ",\"store_reads\":%" G_GUINT64_FORMAT
+	     ",\"store_feeds\":%" G_GUINT64_FORMAT
+	     ",\"store_writes\":%" G_GUINT64_FORMAT
+	     ",\"config_age_ms\":%" G_GINT64_FORMAT,
+	     conns, requests, mbr_count(gw->shared.members),
+	     flt_count(gw->shared.fleet), sts_get(STS_REQUESTS),
+	     sts_get(STS_SENT), sts_get(STS_STORE_READS),
+	     sts_get(STS_STORE_FEEDS), sts_get(STS_STORE_WRITES),
+	     blf_age_ms(gw->shared.beliefs));
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct gw *gw = arg;
@@ -277,7 +301,10 @@
 	(void)what;
 	if (gw->stop_at != 0)
 		stop_step(gw);
-	xch_forget_sessions(&gw->shared);
+	if (++gw->ticks % TOTALS_TICKS == 0) {
+		xch_forget_sessions(&gw->shared);
+		log_totals(gw);
+	}
 	slog_flush();
 }
 
--- a/serve/gateway.h
+++ b/serve/gateway.h
@@ -26,7 +26,7 @@
 	uint32_t quota_slack; /**< requests by which an account may pass its
 			       * limit, all instances together */
 	uint32_t cache_kb;    /**< history of programs that is kept at hand */
-	uint32_t sweep_ms;    /**< between two parts of the store swept */
+	uint32_t sweep_ms;    /**< between two sweeps of the store */
 };
 
 struct gw;
--- a/serve/members.c
+++ b/serve/members.c
@@ -133,7 +133,8 @@
 			     "\"peer\":%s,\"state\":\"%s\",\"heard_ms\":"
 			     "%" G_GINT64_FORMAT,
 			     slog_quote(member->id), gone ? "gone" : "there",
-			     now - member->heard_at);
+			     member->heard_at > 0 ? now - member->heard_at
+						  : -1);
 		member->counted = !gone;
 		if (gone)
 			qta_forget(mbr->config.quota, member->id);
--- a/serve/stats.c
+++ b/serve/stats.c
@@ -32,7 +32,9 @@
 	[STS_BROKEN_OFF] = "broken_off_total",
 	[STS_TURNS_KEPT] = "turns_kept_total",
 	[STS_PROGRAMS_SWEPT] = "programs_swept_total",
-	[STS_STORE_CALLS] = "store_calls_total",
+	[STS_STORE_READS] = "store_reads_total",
+	[STS_STORE_FEEDS] = "store_feeds_total",
+	[STS_STORE_WRITES] = "store_writes_total",
 	[STS_STORE_FAILED] = "store_failed_total",
 	[STS_STORE_CONFLICTS] = "store_conflicts_total",
 	[STS_CONFIGS] = "configurations_total",
@@ -56,6 +58,11 @@
 	counters[counter]++;
 }
 
+uint64_t sts_get(enum sts_counter counter)
+{
+	return counters[counter];
+}
+
 void sts_time(enum sts_latency latency, int64_t ms)
 {
 	guint i = 0;
--- a/serve/stats.h
+++ b/serve/stats.h
@@ -32,7 +32,9 @@
 	STS_BROKEN_OFF,
 	STS_TURNS_KEPT,
 	STS_PROGRAMS_SWEPT,
-	STS_STORE_CALLS,
+	STS_STORE_READS,
+	STS_STORE_FEEDS,
+	STS_STORE_WRITES,
 	STS_STORE_FAILED,
 	STS_STORE_CONFLICTS,
 	STS_CONFIGS,
@@ -51,6 +53,8 @@
 };
 
 void sts_count(enum sts_counter counter);
+/** What was counted since the start. */
+uint64_t sts_get(enum sts_counter counter);
 /** Adds one measured time. */
 void sts_time(enum sts_latency latency, int64_t ms);
 /** Appends everything in the text exposition format. */
--- a/serve/sweeper.c
+++ b/serve/sweeper.c
@@ -10,6 +10,8 @@
 #include "turns_int.h"
 
 enum {
+	TICKS = 600,	    /* in a cycle; a part is swept in each */
+	PARTS_PAGE = 1000,  /* parts in one answer of the store */
 	REMOVALS_MOST = 45, /* rows; a transaction takes 100 entries */
 };
 
@@ -23,8 +25,11 @@
 	struct rst *store;
 	struct mbr *members;
 	struct event *timer;
-	int next_part;
-	char part[4];
+	int64_t cycle_ms;
+	int64_t listed_at; /* when the parts were last listed */
+	GQueue parts;	   /* of char *, still to be swept */
+	char *after;	   /* where the list of parts goes on */
+	char part[PART_LEN];
 	char *from; /* where the list of the part goes on */
 	struct rst_call *call;
 	GQueue expired; /* of struct expired, still to be removed */
@@ -178,30 +183,65 @@
 			    NULL, on_list, swp);
 }
 
+static void on_parts(void *arg, const struct rst_answer *answer)
+{
+	struct swp *swp = arg;
+	const struct rst_row *last = NULL;
+
+	swp->call = NULL;
+	g_clear_pointer(&swp->after, g_free);
+	if (answer->result != RST_OK)
+		return;
+	for (guint i = 0; i < answer->rows->len; i++) {
+		last = &g_array_index(answer->rows, struct rst_row, i);
+		if (strlen(last->part) < PART_LEN &&
+		    mbr_is_first(swp->members, last->part))
+			g_queue_push_tail(&swp->parts, g_strdup(last->part));
+	}
+	if ((answer->more || answer->rows->len >= PARTS_PAGE) && last != NULL)
+		swp->after = g_strdup(last->part);
+}
+
+static void list_parts(struct swp *swp)
+{
+	swp->listed_at = clock_boot_ms();
+	swp->call =
+		rst_parts(swp->store, EXPIRY_TABLE, swp->after, on_parts, swp);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct swp *swp = arg;
+	char *part;
 
 	(void)fd;
 	(void)what;
 	if (swp->call != NULL)
 		return;
-	trn_part_name(swp->next_part, swp->part);
-	swp->next_part = (swp->next_part + 1) % PARTS;
-	if (!mbr_is_first(swp->members, swp->part))
+	part = g_queue_pop_head(&swp->parts);
+	if (part == NULL) {
+		if (swp->after != NULL ||
+		    clock_boot_ms() - swp->listed_at >= swp->cycle_ms)
+			list_parts(swp);
 		return;
+	}
+	g_strlcpy(swp->part, part, sizeof(swp->part));
+	g_free(part);
 	swp->removed = 0;
 	read_list(swp);
 }
 
 struct swp *swp_create(struct event_base *base, struct rst *store,
-		       struct mbr *members, int64_t tick_ms)
+		       struct mbr *members, int64_t cycle_ms)
 {
-	struct timeval tv = clock_timeval(tick_ms);
+	struct timeval tv = clock_timeval(MAX(cycle_ms / TICKS, 1));
 	struct swp *swp = g_new0(struct swp, 1);
 
 	swp->store = store;
 	swp->members = members;
+	swp->cycle_ms = cycle_ms;
+	swp->listed_at = clock_boot_ms();
+	g_queue_init(&swp->parts);
 	g_queue_init(&swp->expired);
 	swp->timer = event_new(base, -1, EV_PERSIST, on_timer, swp);
 	event_add(swp->timer, &tv);
@@ -215,6 +255,8 @@
 	if (swp->call != NULL)
 		rst_cancel(swp->call);
 	give_up(swp);
+	g_queue_clear_full(&swp->parts, g_free);
+	g_free(swp->after);
 	event_free(swp->timer);
 	g_free(swp);
 }
--- a/serve/sweeper.h
+++ b/serve/sweeper.h
@@ -16,9 +16,9 @@
 
 struct swp;
 
-/** @param tick_ms time between two parts */
+/** @param cycle_ms time between two sweeps of a part */
 struct swp *swp_create(struct event_base *base, struct rst *store,
-		       struct mbr *members, int64_t tick_ms);
+		       struct mbr *members, int64_t cycle_ms);
 void swp_destroy(struct swp *swp);
 
 #endif
--- a/serve/turns.c
+++ b/serve/turns.c
@@ -36,16 +36,26 @@
 	g_free(text);
 }
 
+/* The key of a program begins with digits of its account, which name the
+ * parts that a turn of the account can lie in. */
+static void make_program_key(char *out, const char *account, const char *name)
+{
+	char owner[KEY_LEN];
+
+	make_key(owner, 'a', account, "");
+	make_key(out, 'p', account, name);
+	memcpy(out, owner, ACCOUNT_DIGITS);
+}
+
 void trn_part_of(const char *key, char *part)
 {
-	part[0] = 'p';
-	part[1] = key[0];
-	part[2] = '\0';
+	g_snprintf(part, PART_LEN, "p%.*s", ACCOUNT_DIGITS + 1, key);
 }
 
-void trn_part_name(int i, char *part)
+void trn_account_part(const char *key, int i, char *part)
 {
-	g_snprintf(part, 4, "p%x", (unsigned int)i);
+	g_snprintf(part, PART_LEN, "p%.*s%x", ACCOUNT_DIGITS, key,
+		   (unsigned int)i);
 }
 
 static void on_retry(evutil_socket_t fd, short what, void *arg)
@@ -474,8 +484,8 @@
 	char key[KEY_LEN];
 
 	/* A turn without a program is a program of its own. */
-	make_key(key, 'p', request->account,
-		 request->program ? request->program : request->id);
+	make_program_key(key, request->account,
+			 request->program ? request->program : request->id);
 	turn->program = program_of(trn, key);
 	turn->program->retry_ms = RETRY_FIRST_MS;
 	turn->program->used_at = clock_boot_ms();
--- a/serve/turns_int.h
+++ b/serve/turns_int.h
@@ -22,7 +22,12 @@
 #define EXPIRY_TABLE "aps-expiry"
 
 enum {
-	PARTS = 16,	/**< each commits one transaction after another */
+	/** Parts of one account's programs, a hex digit. Each commits one
+	 * transaction after another: while the store is tens of times slower
+	 * a part for all accounts would not carry them. */
+	PARTS = 16,
+	ACCOUNT_DIGITS = 4, /**< of a program's key, equal for its account */
+	PART_LEN = 1 + ACCOUNT_DIGITS + 1 + 1,
 	KEY_BYTES = 16, /**< of a hash */
 	KEY_LEN = 2 * KEY_BYTES + 1,
 	HEAD_KEY_LEN = 2 * (KEY_LEN - 1) + 1, /**< "PROGRAM/TURN" */
@@ -41,7 +46,7 @@
 struct program {
 	struct trn *trn;
 	char key[KEY_LEN];
-	char part[4];
+	char part[PART_LEN];
 	struct bgt bgt;
 	int64_t version; /* of the budget row; 0: there is none */
 	int64_t read_at; /* when the row was last known to be current */
@@ -121,10 +126,10 @@
 	bool kept;
 };
 
-/** The part that holds the rows of a key: four bytes. */
+/** The part that holds the rows of a program: PART_LEN bytes. */
 void trn_part_of(const char *key, char *part);
-/** The name of the part of that number, below PARTS: four bytes. */
-void trn_part_name(int i, char *part);
+/** The part of number @p i, below PARTS, of the account of a program. */
+void trn_account_part(const char *key, int i, char *part);
 /** Decides about a turn, as far as that is possible now. */
 void trn_step(struct trn_turn *turn);
 /** Tells the caller; the turn may be gone afterwards. */
--- a/serve/turns_load.c
+++ b/serve/turns_load.c
@@ -149,7 +149,7 @@
 static void read_rows_of(struct load *load, const char *from)
 {
 	char to[KEY_LEN + 2];
-	char part[4];
+	char part[PART_LEN];
 
 	trn_part_of(load->owner, part);
 	g_snprintf(to, sizeof(to), "%s0", load->owner);
@@ -193,9 +193,9 @@
 	g_snprintf(to, sizeof(to), "%s!", turn->missing);
 	for (int i = 0; i < PARTS; i++) {
 		struct load *load = load_add(turn, "");
-		char part[4];
+		char part[PART_LEN];
 
-		trn_part_name(i, part);
+		trn_account_part(turn->program->key, i, part);
 		load->call = rst_get(turn->program->trn->store, TURNS_TABLE,
 				     part, turn->missing, to, on_index, load);
 	}
--- a/test/standins/rowstore.c
+++ b/test/standins/rowstore.c
@@ -33,6 +33,12 @@
 	int64_t until;
 };
 
+/* A call that is not looked at before its time. */
+struct late {
+	struct in_request *request;
+	int64_t at;
+};
+
 struct srs {
 	struct event_base *base;
 	struct in *in;
@@ -42,8 +48,10 @@
 	enum srs_mode mode;
 	GTree *rows; /* "table\npart\nkey" -> struct row */
 	int64_t version;
-	int64_t oldest; /* history before it is gone */
-	int64_t ahead;	/* of our clock */
+	int64_t oldest;	 /* history before it is gone */
+	int64_t ahead;	 /* of our clock */
+	int64_t slow_ms; /* before a call is looked at */
+	GQueue late;	 /* of struct late, in order of time */
 	GPtrArray *feeds;
 };
 
@@ -200,6 +208,47 @@
 	g_free(to);
 }
 
+struct part_scan {
+	const char *table;
+	GHashTable *seen;
+	json_object *parts;
+};
+
+static gboolean scan_part(gpointer name, gpointer value, gpointer arg)
+{
+	const struct row *row = value;
+	struct part_scan *scan = arg;
+
+	(void)name;
+	if (row->value != NULL && strcmp(row->table, scan->table) == 0 &&
+	    g_hash_table_add(scan->seen, row->part))
+		json_object_array_add(scan->parts,
+				      json_object_new_string(row->part));
+	return FALSE;
+}
+
+/* All parts in one answer. */
+static void list_parts(struct srs *srs, struct in_request *request)
+{
+	char *table = field(request, "table");
+	struct part_scan scan = {table,
+				 g_hash_table_new(g_str_hash, g_str_equal),
+				 json_object_new_array()};
+	json_object *root = json_object_new_object();
+	const char *text;
+
+	g_tree_foreach(srs->rows, scan_part, &scan);
+	json_object_object_add(root, "parts", scan.parts);
+	json_object_object_add(root, "has_more",
+			       json_object_new_boolean(false));
+	text = json_object_to_json_string(root);
+	in_reply(request, 200, "Content-Type: application/json\r\n", text,
+		 strlen(text));
+	json_object_put(root);
+	g_hash_table_destroy(scan.seen);
+	g_free(table);
+}
+
 static void feed_free(gpointer p)
 {
 	struct feed *feed = p;
@@ -342,16 +391,16 @@
 		answer(srs, request, 200, NULL, false);
 }
 
-static void on_request(void *arg, struct in_request *request)
+static void take(struct srs *srs, struct in_request *request)
 {
-	struct srs *srs = arg;
-
 	if (srs->mode == SRS_SILENT)
 		return;
 	if (srs->mode == SRS_BUSY)
 		in_reply(request, 503, "", NULL, 0);
 	else if (g_str_has_prefix(request->target, "/v1/rows-get?"))
 		get(srs, request);
+	else if (g_str_has_prefix(request->target, "/v1/rows-parts?"))
+		list_parts(srs, request);
 	else if (g_str_has_prefix(request->target, "/v1/rows-feed?"))
 		follow(srs, request);
 	else if (strcmp(request->target, "/v1/rows-tx") == 0)
@@ -360,6 +409,46 @@
 		in_reply(request, 404, "", NULL, 0);
 }
 
+static void on_request(void *arg, struct in_request *request)
+{
+	struct srs *srs = arg;
+	struct late *late;
+
+	if (srs->slow_ms == 0) {
+		take(srs, request);
+		return;
+	}
+	late = g_new(struct late, 1);
+	late->request = request;
+	late->at = clock_boot_ms() + srs->slow_ms;
+	g_queue_push_tail(&srs->late, late);
+}
+
+static void take_late(struct srs *srs)
+{
+	struct late *late;
+
+	while ((late = g_queue_peek_head(&srs->late)) != NULL &&
+	       late->at <= clock_boot_ms()) {
+		g_queue_pop_head(&srs->late);
+		take(srs, late->request);
+		g_free(late);
+	}
+}
+
+static void forget_late(struct srs *srs, const struct in_request *request)
+{
+	for (GList *l = srs->late.head; l != NULL; l = l->next) {
+		struct late *late = l->data;
+
+		if (late->request != request)
+			continue;
+		g_free(late);
+		g_queue_delete_link(&srs->late, l);
+		return;
+	}
+}
+
 static void on_door_request(void *arg, struct in_request *request)
 {
 	struct srs *srs = arg;
@@ -374,6 +463,7 @@
 {
 	struct srs *srs = arg;
 
+	forget_late(srs, request);
 	for (guint i = 0; i < srs->feeds->len; i++) {
 		struct feed *feed = g_ptr_array_index(srs->feeds, i);
 
@@ -390,6 +480,7 @@
 
 	(void)fd;
 	(void)what;
+	take_late(srs);
 	for (guint i = srs->feeds->len; i > 0; i--) {
 		struct feed *feed = g_ptr_array_index(srs->feeds, i - 1);
 
@@ -425,6 +516,7 @@
 	in_destroy(srs->in);
 	in_destroy(srs->door);
 	event_free(srs->tick);
+	g_queue_clear_full(&srs->late, g_free);
 	g_ptr_array_free(srs->feeds, TRUE);
 	g_tree_destroy(srs->rows);
 	g_free(srs);
@@ -442,6 +534,11 @@
 	srs->door_closed = closed;
 }
 
+void srs_set_slow(struct srs *srs, int64_t ms)
+{
+	srs->slow_ms = ms;
+}
+
 void srs_set_mode(struct srs *srs, enum srs_mode mode)
 {
 	srs->mode = mode;
--- a/test/standins/rowstore.h
+++ b/test/standins/rowstore.h
@@ -24,6 +24,9 @@
 struct srs *srs_create(struct event_base *base, const char *address);
 void srs_destroy(struct srs *srs);
 void srs_set_mode(struct srs *srs, enum srs_mode mode);
+/** Lets each call wait so long before it is done; what waits is done though its
+ * caller gives up, unless it closes its connection. */
+void srs_set_slow(struct srs *srs, int64_t ms);
 /** Listens on a second address, which can be closed by itself. */
 void srs_open_door(struct srs *srs, const char *address);
 /** Whether calls at the second address get 503. */
--- a/test/unit/test_gateway_store.c
+++ b/test/unit/test_gateway_store.c
@@ -195,6 +195,30 @@
 	wld_got_clear(&got);
 }
 
+/* Answers that take seventy times as long are waited for. */
+static void test_slow_store_is_not_away(void **state)
+{
+	enum { SLOW_MS = 300 };
+	struct got got;
+
+	(void)state;
+	srs_set_slow(w.store, SLOW_MS);
+	for (int i = 0; i < 4; i++) {
+		char *headers = g_strdup_printf(
+			KEY "Program-Id: p%d\r\nSession-Id: s\r\n"
+			    "Token-Usage: 10,60\r\nToken-Budget: 500\r\n"
+			    "Request-Id: slow%d\r\n",
+			i, i);
+
+		wld_call(&got, i % 2, "/kept/turn", headers, "one\n");
+		assert_int_equal(got.status, 200);
+		assert_int_equal(got.end, UP_WHOLE);
+		wld_got_clear(&got);
+		g_free(headers);
+	}
+	srs_set_slow(w.store, 0);
+}
+
 /* A text of several transactions, and of several pages when it is read. */
 static void test_long_history(void **state)
 {
@@ -356,6 +380,7 @@
 		CASE(test_store_through_another_instance),
 		CASE(test_cut_off_instance_does_not_feel_alone),
 		CASE(test_removal_after_an_outage),
+		CASE(test_slow_store_is_not_away),
 		CASE(test_long_history),
 		CASE(test_pieces_without_a_head),
 		CASE(test_expired_programs_are_removed),
