The home of an account says when to ask again; the slack lies there

In a wide fleet nearly all of a limit lies at its home; an instance that found nothing there did not ask again and refused at once, with a time to come back from its own tiny share (seconds); the slack was spread over 90 buckets, 0.1 each, of no use to anybody; new programs took what those under way needed.

Change: a borrower says whether it begins programs; the home keeps half of the burst from these, and answers an empty hand with the time after which there is a token, one after another. Who can't wait that long is refused with that time.

Test: test_home_spreads_those_who_wait (does not build on the old code: it had no time to tell); replay of wide fleets in test_quota as before.

--- a/decide/quota.c
+++ b/decide/quota.c
@@ -31,6 +31,7 @@
 	double tokens;
 	double lent; /* by other instances; it fades unless it is used */
 	int64_t lent_at;
+	double queued; /* requests that were told to ask again */
 	double share;  /* the part of rate and burst that is ours */
 	int64_t at;    /* when tokens were last added */
 	double demand; /* requests a second */
@@ -271,7 +272,8 @@
 	if (bucket->home)
 		share += at_home;
 	most = MAX(limit->burst * share, at_home > 0 ? 0 : 1.0) +
-	       limit->slack / qta->instances;
+	       limit->slack * ((1 - at_home) / qta->instances +
+			       (bucket->home ? at_home : 0));
 
 	if (share < bucket->share && bucket->tokens > 0)
 		bucket->tokens *= share / bucket->share;
@@ -279,6 +281,9 @@
 	bucket->tokens +=
 		limit->rate * share * (double)(now - bucket->at) / 1000.0;
 	bucket->tokens = MIN(bucket->tokens, most);
+	bucket->queued -=
+		limit->rate * share * (double)(now - bucket->at) / 1000.0;
+	bucket->queued = MAX(bucket->queued, 0);
 	bucket->at = now;
 	if (now - bucket->lent_at > LENT_MS)
 		bucket->lent = 0;
@@ -292,12 +297,19 @@
 	bucket->demand += 1000.0 / DEMAND_FADE_MS;
 }
 
+/* What a new program leaves to those under way. */
+static double reserve_of(const struct bucket *bucket,
+			 const struct qta_limit *limit, bool begins)
+{
+	return begins ? NEW_PROGRAM_PART * limit->burst * bucket->share : 0;
+}
+
 bool qta_take(struct qta *qta, const char *account,
 	      const struct qta_limit *limit, bool begins, int64_t now,
 	      int64_t *wait_ms)
 {
 	struct bucket *bucket = bucket_of(qta, account);
-	double least = 1.0;
+	double least;
 	double missing_ms;
 
 	fade(bucket, now);
@@ -305,8 +317,7 @@
 	if (limit->rate <= 0)
 		return true;
 	refill(qta, account, bucket, limit, now);
-	if (begins)
-		least += NEW_PROGRAM_PART * limit->burst * bucket->share;
+	least = 1.0 + reserve_of(bucket, limit, begins);
 	if (bucket->lent >= 1.0) {
 		bucket->lent -= 1.0;
 		return true;
@@ -370,19 +381,30 @@
 }
 
 uint32_t qta_lend(struct qta *qta, const char *account,
-		  const struct qta_limit *limit, uint32_t wanted, int64_t now)
+		  const struct qta_limit *limit, uint32_t wanted, bool begins,
+		  int64_t now, int64_t *wait_ms)
 {
 	struct bucket *bucket = bucket_of(qta, account);
 	double spare;
 	uint32_t granted;
 
+	*wait_ms = 0;
 	if (limit->rate <= 0)
 		return 0;
 	fade(bucket, now);
 	refill(qta, account, bucket, limit, now);
 	spare = bucket->tokens - bucket->demand * KEEP_S;
+	if (bucket->home)
+		spare -= reserve_of(bucket, limit, begins);
 	granted = spare >= 1.0 ? (uint32_t)MIN(spare, (double)wanted) : 0;
 	bucket->tokens -= granted;
+	if (granted == 0 && bucket->home) {
+		double ms = (1.0 - spare + bucket->queued) * 1000.0 /
+			    (limit->rate * bucket->share);
+
+		*wait_ms = (int64_t)MIN(ms, (double)WAIT_MOST_MS) + 1;
+		bucket->queued += wanted;
+	}
 	return granted;
 }
 
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -80,9 +80,16 @@
  * counts as lent until its next word. @p asked are left out. */
 const char *qta_lender(struct qta *qta, const char *account,
 		       const struct qta_limit *limit, const GPtrArray *asked);
-/** Takes up to @p wanted requests out of the bucket for another instance. */
+/**
+ * Takes up to @p wanted requests out of the bucket for another instance.
+ *
+ * @param begins  they begin programs, as with qta_take()
+ * @param wait_ms receives when to ask again if nothing is granted at the home
+ *                of the account, where all wait in one line; otherwise 0
+ */
 uint32_t qta_lend(struct qta *qta, const char *account,
-		  const struct qta_limit *limit, uint32_t wanted, int64_t now);
+		  const struct qta_limit *limit, uint32_t wanted, bool begins,
+		  int64_t now, int64_t *wait_ms);
 /** Puts requests in that another instance has lent. */
 void qta_borrowed(struct qta *qta, const char *account, uint32_t count,
 		  int64_t now);
--- a/proto/rows.pb-c.c
+++ b/proto/rows.pb-c.c
@@ -1001,7 +1001,7 @@
   (ProtobufCMessageInit) rows__gossip__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rows__borrow__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rows__borrow__field_descriptors[5] =
 {
   {
     "id",
@@ -1051,9 +1051,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "begins",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Rows__Borrow, has_begins),
+    offsetof(Rows__Borrow, begins),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rows__borrow__field_indices_by_name[] = {
   1,   /* field[1] = account */
+  4,   /* field[4] = begins */
   0,   /* field[0] = id */
   3,   /* field[3] = serial */
   2,   /* field[2] = wanted */
@@ -1061,7 +1074,7 @@
 static const ProtobufCIntRange rows__borrow__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor rows__borrow__descriptor =
 {
@@ -1071,14 +1084,14 @@
   "Rows__Borrow",
   "rows",
   sizeof(Rows__Borrow),
-  4,
+  5,
   rows__borrow__field_descriptors,
   rows__borrow__field_indices_by_name,
   1,  rows__borrow__number_ranges,
   (ProtobufCMessageInit) rows__borrow__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rows__lend__field_descriptors[3] =
+static const ProtobufCFieldDescriptor rows__lend__field_descriptors[4] =
 {
   {
     "account",
@@ -1116,16 +1129,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wait_ms",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Rows__Lend, has_wait_ms),
+    offsetof(Rows__Lend, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rows__lend__field_indices_by_name[] = {
   0,   /* field[0] = account */
   1,   /* field[1] = granted */
   2,   /* field[2] = serial */
+  3,   /* field[3] = wait_ms */
 };
 static const ProtobufCIntRange rows__lend__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor rows__lend__descriptor =
 {
@@ -1135,7 +1161,7 @@
   "Rows__Lend",
   "rows",
   sizeof(Rows__Lend),
-  3,
+  4,
   rows__lend__field_descriptors,
   rows__lend__field_indices_by_name,
   1,  rows__lend__number_ranges,
--- a/proto/rows.pb-c.h
+++ b/proto/rows.pb-c.h
@@ -188,10 +188,15 @@
   char *account;
   uint32_t wanted;
   uint32_t serial;
+  /*
+   * they begin programs: these leave a part of the burst to the others
+   */
+  protobuf_c_boolean has_begins;
+  protobuf_c_boolean begins;
 };
 #define ROWS__BORROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rows__borrow__descriptor) \
-    , NULL, NULL, 0, 0 }
+    , NULL, NULL, 0, 0, 0, 0 }
 
 
 /*
@@ -203,10 +208,15 @@
   char *account;
   uint32_t granted;
   uint32_t serial;
+  /*
+   * nothing was granted: when to ask again
+   */
+  protobuf_c_boolean has_wait_ms;
+  uint32_t wait_ms;
 };
 #define ROWS__LEND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rows__lend__descriptor) \
-    , NULL, 0, 0 }
+    , NULL, 0, 0, 0, 0 }
 
 
 struct  Rows__Datagram
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -20,6 +20,7 @@
 	GPtrArray *asked; /* instances asked for this shortage */
 	uint32_t serial;  /* of the question under way */
 	int64_t asked_at; /* 0: none is */
+	int64_t again_at; /* when the account's home is worth asking; 0 */
 };
 
 struct adm {
@@ -144,16 +145,32 @@
 	return G_MAXINT32;
 }
 
+static uint32_t count_waits(struct queue *queue, bool begins)
+{
+	const struct adm_wait *wait = NULL;
+	uint32_t n = 0;
+
+	cds_list_for_each_entry(wait, &queue->waits, node)
+		n += wait->begins == begins;
+	return n;
+}
+
 static void ask_lender(struct queue *queue, int64_t now)
 {
 	struct adm *adm = queue->adm;
 	const struct adm_wait *first =
 		cds_list_first_entry(&queue->waits, struct adm_wait, node);
 	const char *lender;
+	bool begins = first_wait(queue, false) == NULL;
 
 	if (queue->asked_at != 0 && now - queue->asked_at < LEND_MS)
 		return;
 	queue->asked_at = 0;
+	if (queue->again_at > now)
+		return;
+	if (queue->again_at != 0)
+		g_ptr_array_set_size(queue->asked, 0);
+	queue->again_at = 0;
 	if (queue->asked->len >= LENDERS_MOST)
 		return;
 	lender = qta_lender(adm->quota, queue->account, &first->limit,
@@ -163,8 +180,21 @@
 	queue->serial = ++adm->serial;
 	queue->asked_at = now;
 	g_ptr_array_add(queue->asked, g_strdup(lender));
-	mbr_borrow(adm->members, lender, queue->account, queue->waiting,
-		   queue->serial);
+	mbr_borrow(adm->members, lender, queue->account,
+		   count_waits(queue, begins), begins, queue->serial);
+}
+
+/* The account's home has nothing before some time: who can't wait for that is
+ * refused at once. */
+static void refuse_until_again(struct queue *queue, int64_t now)
+{
+	struct adm_wait *wait = NULL;
+	struct adm_wait *next = NULL;
+
+	cds_list_for_each_entry_safe(wait, next, &queue->waits, node) {
+		if (wait->expires_at < queue->again_at)
+			decide(wait, false, queue->again_at - now);
+	}
 }
 
 /*
@@ -195,6 +225,8 @@
 
 	if (queue->asked_at != 0)
 		ms = MIN(ms, LEND_MS);
+	else if (queue->again_at != 0)
+		ms = MIN(ms, queue->again_at - clock_boot_ms());
 	ms = MAX(ms, 1);
 	tv = clock_timeval(ms);
 	event_add(queue->timer, &tv);
@@ -208,13 +240,16 @@
 
 	if (!cds_list_empty(&queue->waits)) {
 		ask_lender(queue, now);
-		if (queue->asked_at == 0) {
+		if (queue->again_at > now) {
+			refuse_until_again(queue, now);
+		} else if (queue->asked_at == 0) {
 			refuse_hopeless(queue, false, ongoing_ms, now);
 			refuse_hopeless(queue, true, begins_ms, now);
 		}
 	}
 	if (cds_list_empty(&queue->waits)) {
 		g_ptr_array_set_size(queue->asked, 0);
+		queue->again_at = 0;
 		event_del(queue->timer);
 		return;
 	}
@@ -260,7 +295,7 @@
 }
 
 void adm_lent(struct adm *adm, const char *account, uint32_t granted,
-	      uint32_t serial)
+	      int64_t wait_ms, uint32_t serial)
 {
 	struct queue *queue = g_hash_table_lookup(adm->queues, account);
 
@@ -273,5 +308,7 @@
 	queue->asked_at = 0;
 	if (granted > 0)
 		g_ptr_array_set_size(queue->asked, 0);
+	else if (wait_ms > 0)
+		queue->again_at = clock_boot_ms() + wait_ms;
 	serve(queue);
 }
--- a/serve/admission.h
+++ b/serve/admission.h
@@ -39,8 +39,9 @@
 			 int64_t patience_ms, adm_decided *decided, void *arg);
 /** The request has left. */
 void adm_cancel(struct adm_wait *wait);
-/** Another instance has lent @p granted requests, or none. */
+/** Another instance has lent @p granted requests; or none, and those who wait
+ * have a chance after @p wait_ms, if that is not 0. */
 void adm_lent(struct adm *adm, const char *account, uint32_t granted,
-	      uint32_t serial);
+	      int64_t wait_ms, uint32_t serial);
 
 #endif
--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -189,11 +189,11 @@
 }
 
 static void on_lent(void *arg, const char *account, uint32_t granted,
-		    uint32_t serial)
+		    int64_t wait_ms, uint32_t serial)
 {
 	struct gw *gw = arg;
 
-	adm_lent(gw->shared.admission, account, granted, serial);
+	adm_lent(gw->shared.admission, account, granted, wait_ms, serial);
 }
 
 static const char *find_relay(void *arg)
--- a/serve/members.c
+++ b/serve/members.c
@@ -306,19 +306,22 @@
 	Rows__Datagram datagram = ROWS__DATAGRAM__INIT;
 	Rows__Lend lend = ROWS__LEND__INIT;
 	struct qta_limit limit;
+	int64_t wait_ms = 0;
 
 	lend.account = borrow->account;
 	lend.serial = borrow->serial;
 	if (mbr->config.limit(mbr->config.arg, borrow->account, &limit))
-		lend.granted =
-			qta_lend(mbr->config.quota, borrow->account, &limit,
-				 borrow->wanted, clock_boot_ms());
+		lend.granted = qta_lend(mbr->config.quota, borrow->account,
+					&limit, borrow->wanted, borrow->begins,
+					clock_boot_ms(), &wait_ms);
+	lend.has_wait_ms = wait_ms > 0;
+	lend.wait_ms = (uint32_t)wait_ms;
 	datagram.lend = &lend;
 	send_datagram(mbr, borrow->id, &datagram);
 }
 
 void mbr_borrow(struct mbr *mbr, const char *instance, const char *account,
-		uint32_t wanted, uint32_t serial)
+		uint32_t wanted, bool begins, uint32_t serial)
 {
 	Rows__Datagram datagram = ROWS__DATAGRAM__INIT;
 	Rows__Borrow borrow = ROWS__BORROW__INIT;
@@ -327,6 +330,8 @@
 	borrow.account = (char *)account;
 	borrow.wanted = wanted;
 	borrow.serial = serial;
+	borrow.has_begins = begins;
+	borrow.begins = begins;
 	datagram.borrow = &borrow;
 	send_datagram(mbr, instance, &datagram);
 }
@@ -340,6 +345,7 @@
 	if (datagram->lend != NULL)
 		mbr->config.lent(mbr->config.arg, datagram->lend->account,
 				 datagram->lend->granted,
+				 datagram->lend->wait_ms,
 				 datagram->lend->serial);
 }
 
--- a/serve/members.h
+++ b/serve/members.h
@@ -31,9 +31,11 @@
 	int64_t (*config_age)(void *arg);
 	/** The limit of an account; returns false if there is none. */
 	bool (*limit)(void *arg, const char *account, struct qta_limit *limit);
-	/** What was asked of another instance has come; @p granted may be 0. */
+	/** What was asked of another instance has come; @p granted may be 0,
+	 * then
+	 * @p wait_ms says when to ask again, or is 0. */
 	void (*lent)(void *arg, const char *account, uint32_t granted,
-		     uint32_t serial);
+		     int64_t wait_ms, uint32_t serial);
 	/** A request with that fingerprint was running when @p server broke. */
 	void (*marked)(void *arg, uint64_t fingerprint, const char *server);
 	void *arg;
@@ -55,7 +57,7 @@
 void mbr_mark(struct mbr *mbr, uint64_t fingerprint, const char *server);
 /** Asks @p instance for requests of an account's quota. */
 void mbr_borrow(struct mbr *mbr, const char *instance, const char *account,
-		uint32_t wanted, uint32_t serial);
+		uint32_t wanted, bool begins, uint32_t serial);
 /** Tells the others that this instance stops. */
 void mbr_leave(struct mbr *mbr);
 
--- a/test/unit/test_quota.c
+++ b/test/unit/test_quota.c
@@ -117,10 +117,10 @@
 		if (name == NULL || fleet->cut[from])
 			break;
 		g_ptr_array_add(asked, (gpointer)names[from]);
-		qta_borrowed(
-			fleet->at[i], "a",
-			qta_lend(fleet->at[from], "a", &fleet->limit, 1, now),
-			now);
+		qta_borrowed(fleet->at[i], "a",
+			     qta_lend(fleet->at[from], "a", &fleet->limit, 1,
+				      begins, now, &wait_ms),
+			     now);
 		ok = qta_take(fleet->at[i], "a", &fleet->limit, begins, now,
 			      &wait_ms);
 	}
@@ -346,6 +346,58 @@
 	qta_destroy(qta);
 }
 
+/* The instance where nearly all of the limit lies. */
+static int home_in(struct fleet *fleet)
+{
+	for (int i = 0; i < fleet->n; i++) {
+		struct qta_view view;
+		int64_t wait_ms;
+
+		qta_take(fleet->at[i], "a", &fleet->limit, true, 0, &wait_ms);
+		qta_look(fleet->at[i], "a", &view);
+		if (view.home)
+			return i;
+	}
+	return -1;
+}
+
+/* Those who find nothing at the home are told to come one after another, and
+ * new programs leave half of the burst to those under way. */
+static void test_home_spreads_those_who_wait(void **state)
+{
+	struct fleet fleet;
+	int64_t wait_ms = 0;
+	int64_t before = 0;
+	struct qta *home;
+	uint32_t begun = 0;
+	uint32_t ongoing = 0;
+	int at;
+
+	(void)state;
+	fleet_init(&fleet, MANY, 1, 10, 10);
+	gossip(&fleet, 0);
+	at = home_in(&fleet);
+	assert_true(at >= 0);
+	home = fleet.at[at];
+	while (qta_lend(home, "a", &fleet.limit, 1, true, 5000, &wait_ms) > 0)
+		begun++;
+	assert_true(wait_ms > 0);
+	while (qta_lend(home, "a", &fleet.limit, 1, false, 5000, &wait_ms) > 0)
+		ongoing++;
+	assert_true(begun > 0);
+	assert_in_range(ongoing, 4, 6);
+	for (int i = 0; i < 4; i++) {
+		assert_in_range(wait_ms - before, 60, 260);
+		before = wait_ms;
+		qta_lend(home, "a", &fleet.limit, 1, false, 5000, &wait_ms);
+	}
+	/* Nobody who comes when it was told is turned away. */
+	assert_int_equal(qta_lend(home, "a", &fleet.limit, 1, false,
+				  5000 + before, &wait_ms),
+			 1);
+	fleet_clear(&fleet);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -357,6 +409,7 @@
 		cmocka_unit_test(test_restarted_instances_bring_no_burst),
 		cmocka_unit_test(test_programs_under_way_go_first),
 		cmocka_unit_test(test_given_back_tokens_do_not_pile_up),
+		cmocka_unit_test(test_home_spreads_those_who_wait),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
