--- a/test/run.sh
+++ b/test/run.sh
@@ -64,6 +64,10 @@
 		{ echo "not in KNOWN-RED.txt: $bad"; exit 1; }
 fi
 
+step "fault soak of gateway processes, with sanitizers"
+# Seeds that ever failed, each with its cause: none so far.
+for s in 1 2; do build-san/soak build-san/apricotshift "$s" 5000; done
+
 step "real processes, then with sanitizers"
 timeout 300 test/processes.sh
 BIN=build-san timeout 300 test/processes.sh
--- /dev/null
+++ b/test/soak/proxy.c
@@ -0,0 +1,171 @@
+/** @file proxy.c @brief A loopback proxy that harms connections. */
+#include <stdbool.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <glib.h>
+
+#include "proxy.h"
+#include "serve/clock.h"
+
+enum {
+	DELAY_MS = 150,
+};
+
+struct prx {
+	struct event_base *base;
+	struct evconnlistener *listener;
+	char *target;
+	enum prx_mode mode;
+	GPtrArray *pairs; /* of struct pair */
+};
+
+/* A connection and the one that it is carried on by. */
+struct pair {
+	struct prx *prx;
+	struct bufferevent *ends[2]; /* caller, target */
+	struct event *timer;
+	bool lost; /* it has dropped bytes: nothing passes any more */
+};
+
+static void pair_free(gpointer p)
+{
+	struct pair *pair = p;
+
+	bufferevent_free(pair->ends[0]);
+	bufferevent_free(pair->ends[1]);
+	event_free(pair->timer);
+	g_free(pair);
+}
+
+static void pass(struct pair *pair)
+{
+	for (int i = 0; i < 2; i++)
+		evbuffer_add_buffer(bufferevent_get_output(pair->ends[1 - i]),
+				    bufferevent_get_input(pair->ends[i]));
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct pair *pair = arg;
+
+	(void)fd;
+	(void)what;
+	if (!pair->lost)
+		pass(pair);
+}
+
+static void drop(struct bufferevent *end)
+{
+	struct evbuffer *input = bufferevent_get_input(end);
+
+	evbuffer_drain(input, evbuffer_get_length(input));
+}
+
+static void on_read(struct bufferevent *end, void *arg)
+{
+	struct pair *pair = arg;
+	enum prx_mode mode = pair->prx->mode;
+	struct timeval tv = clock_timeval(DELAY_MS);
+
+	if (mode == PRX_SILENT || (mode == PRX_ONE_WAY && end == pair->ends[1]))
+		pair->lost = true;
+	if (pair->lost)
+		drop(end);
+	else if (mode == PRX_DELAY)
+		event_add(pair->timer, &tv);
+	else
+		pass(pair);
+}
+
+static void on_event(struct bufferevent *end, short what, void *arg)
+{
+	struct pair *pair = arg;
+
+	(void)end;
+	if (what & BEV_EVENT_CONNECTED)
+		return;
+	/* What is still to be written is lost: the other end sees a cut. */
+	if (!pair->lost)
+		pass(pair);
+	for (int i = 0; i < 2; i++)
+		bufferevent_flush(pair->ends[i], EV_WRITE, BEV_FINISHED);
+	g_ptr_array_remove_fast(pair->prx->pairs, pair);
+}
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *addr, int len, void *arg)
+{
+	struct prx *prx = arg;
+	struct sockaddr_storage to;
+	int to_len = sizeof(to);
+	struct pair *pair;
+
+	(void)listener;
+	(void)addr;
+	(void)len;
+	if (prx->mode == PRX_RESET ||
+	    evutil_parse_sockaddr_port(prx->target, (struct sockaddr *)&to,
+				       &to_len) != 0) {
+		evutil_closesocket(fd);
+		return;
+	}
+	pair = g_new0(struct pair, 1);
+	pair->prx = prx;
+	pair->timer = evtimer_new(prx->base, on_timer, pair);
+	pair->ends[0] =
+		bufferevent_socket_new(prx->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	pair->ends[1] =
+		bufferevent_socket_new(prx->base, -1, BEV_OPT_CLOSE_ON_FREE);
+	g_ptr_array_add(prx->pairs, pair);
+	for (int i = 0; i < 2; i++) {
+		bufferevent_setcb(pair->ends[i], on_read, NULL, on_event, pair);
+		bufferevent_enable(pair->ends[i], EV_READ | EV_WRITE);
+	}
+	bufferevent_socket_connect(pair->ends[1], (struct sockaddr *)&to,
+				   to_len);
+}
+
+struct prx *prx_create(struct event_base *base, const char *address,
+		       const char *target)
+{
+	struct sockaddr_storage at;
+	int len = sizeof(at);
+	struct prx *prx;
+
+	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&at, &len) !=
+	    0)
+		return NULL;
+	prx = g_new0(struct prx, 1);
+	prx->base = base;
+	prx->target = g_strdup(target);
+	prx->pairs = g_ptr_array_new_with_free_func(pair_free);
+	prx->listener = evconnlistener_new_bind(
+		base, on_accept, prx, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+		-1, (struct sockaddr *)&at, len);
+	if (prx->listener == NULL) {
+		prx_destroy(prx);
+		return NULL;
+	}
+	return prx;
+}
+
+void prx_destroy(struct prx *prx)
+{
+	if (prx == NULL)
+		return;
+	if (prx->listener != NULL)
+		evconnlistener_free(prx->listener);
+	g_ptr_array_free(prx->pairs, TRUE);
+	g_free(prx->target);
+	g_free(prx);
+}
+
+void prx_set_mode(struct prx *prx, enum prx_mode mode)
+{
+	prx->mode = mode;
+	if (mode == PRX_RESET)
+		g_ptr_array_set_size(prx->pairs, 0);
+}
