--- a/serve/turns_int.h
+++ b/serve/turns_int.h
@@ -1,6 +1,7 @@
 /**
  * @file turns_int.h
- * @brief What the files of turns share; nobody else includes it.
+ * @brief What the files of turns and the sweeper share; nobody else includes
+ * it.
  *
  * turns.c decides about turns, turns_write.c puts their rows together and
  * turns_load.c reads history.
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -57,17 +57,15 @@
 	"\"idle_timeout_ms\":60000},\"tenants\":[{\"name\":\"t1\","
 	"\"api_keys\":[\"secret-key\"],\"rate_per_s\":0,\"burst\":0}]}";
 
-/* What a caller was told about one request. */
+/* What a caller was told about one request; it may run at most once. */
 struct told {
 	char *id;
 	char *input;
 	char *expected; /* body that a server has to get */
 	int status;	/* 0: none */
-	bool once;	/* it may run at most once */
 };
 
 struct caller {
-	int number;
 	uint32_t program;
 	int turn; /* answered whole so far */
 	GString *history;
@@ -277,7 +275,6 @@
 	told->expected =
 		order ? g_strdup(told->input)
 		      : g_strconcat(caller->history->str, told->input, NULL);
-	told->once = true;
 	g_ptr_array_add(s.told, told);
 	return told;
 }
@@ -454,7 +451,7 @@
 	const GPtrArray *ran = g_hash_table_lookup(runs, told->id);
 	guint n = ran ? ran->len : 0;
 
-	if (told->once && n > 1)
+	if (n > 1)
 		FAIL("%s ran %u times", told->id, n);
 	if (n > 0 &&
 	    (told->status == 429 || told->status == 503 || told->status == 402))
@@ -551,7 +548,6 @@
 	for (int i = 0; i < CALLERS; i++) {
 		struct caller *caller = &s.callers[i];
 
-		caller->number = i;
 		caller->gateway = i % GATEWAYS;
 		caller->history = g_string_new(NULL);
 		caller->body = g_string_new(NULL);
