main: ignore SIGHUP until the handlers of a daemon are installed

Cause: between exec and the installation of the handler in gw_create() a SIGHUP had its default action. Ruled out: a longer wait in the supervisor, since nothing tells it when the handler is there. main() now ignores the signal before it initializes the libraries; the settings are read after that in any case.

--- a/apricotshift/main.c
+++ b/apricotshift/main.c
@@ -1,4 +1,6 @@
 /** @file main.c @brief Selects and runs a subcommand. */
+#include <signal.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,27 +13,30 @@
 
 static void usage(void) __attribute__((noreturn));
 
-static const struct {
+struct command {
 	const char *name;
 	int (*run)(int argc, char **argv);
 	const char *help;
-} commands[] = {
-	{"serve", cmd_serve, "-c SETTINGS [-n]     run one instance"},
+	bool daemon; /* runs until it is stopped; reloads on SIGHUP */
+};
+
+static const struct command commands[] = {
+	{"serve", cmd_serve, "-c SETTINGS [-n]     run one instance", true},
 	{"gateway", cmd_gateway,
-	 "-c SETTINGS [-n]     run one gateway instance"},
-	{"check", cmd_check, "RULES                check a rules file"},
+	 "-c SETTINGS [-n]     run one gateway instance", true},
+	{"check", cmd_check, "RULES                check a rules file", false},
 	{"apply", cmd_apply,
-	 "-p URL -r REV -w WHO [-y WHY] RULES  apply a rules file"},
-	{"show", cmd_show,
-	 "-p URL [-r REV]      print the rules of a revision"},
+	 "-p URL -r REV -w WHO [-y WHY] RULES  apply a rules file", false},
+	{"show", cmd_show, "-p URL [-r REV]      print the rules of a revision",
+	 false},
 	{"audit", cmd_audit,
-	 "-p URL               print the audit log of the rules"},
+	 "-p URL               print the audit log of the rules", false},
 	{"explain", cmd_explain,
-	 "-p URL REV:LINE      print the rule behind an outcome"},
+	 "-p URL REV:LINE      print the rule behind an outcome", false},
 	{"status", cmd_status,
-	 "URL                  print the state of an instance"},
+	 "URL                  print the state of an instance", false},
 	{"key", cmd_key,
-	 "                     print the hash of a key read from stdin"},
+	 "                     print the hash of a key read from stdin", false},
 };
 
 static void usage(void)
@@ -43,23 +48,33 @@
 	exit(CMD_USAGE);
 }
 
+static const struct command *find_command(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+		if (strcmp(commands[i].name, name) == 0)
+			return &commands[i];
+	}
+	return NULL;
+}
+
 int main(int argc, char **argv)
 {
-	int status = CMD_USAGE;
+	const struct command *command;
+	int status;
 
-	if (argc < 2)
+	command = argc < 2 ? NULL : find_command(argv[1]);
+	if (command == NULL)
 		usage();
+	/* A reload may be asked for before the handlers are installed; the
+	 * settings are read after this in any case. */
+	if (command->daemon)
+		signal(SIGHUP, SIG_IGN);
 	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT) != 0) {
 		fprintf(stderr, "apricotshift: cannot initialize libsodium or "
 				"libcurl\n");
 		return CMD_FAILED;
 	}
-	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
-		if (strcmp(commands[i].name, argv[1]) != 0)
-			continue;
-		status = commands[i].run(argc - 1, argv + 1);
-		curl_global_cleanup();
-		return status;
-	}
-	usage();
+	status = command->run(argc - 1, argv + 1);
+	curl_global_cleanup();
+	return status;
 }
--- a/test/run.sh
+++ b/test/run.sh
@@ -68,6 +68,10 @@
 # Also list each seed that has failed here, with its cause; none so far.
 for s in 1 2; do build-san/soak build-san/apricotshift "$s" 5000; done
 
+step "SIGHUP during the start, without and with sanitizers"
+timeout 60 test/early_sighup.sh
+BIN=build-san timeout 60 test/early_sighup.sh
+
 step "processes on loopback, without and with sanitizers"
 timeout 300 test/processes.sh
 BIN=build-san timeout 300 test/processes.sh
