--- a/decide/quota.c
+++ b/decide/quota.c
@@ -172,6 +172,11 @@
 	quota->contact_ms = now;
 }
 
+bool quota_has_contact(const struct quota *quota, int64_t now)
+{
+	return now - quota->contact_ms <= HOME_LEASE_MS;
+}
+
 bool quota_divides_limits(const struct quota *quota)
 {
 	return quota->instances <= FEW_INSTANCES_MAX;
@@ -213,8 +218,17 @@
 	return report->demand * bucket->demand / own;
 }
 
-/* The home of an account, by rendezvous hashing over the live instances. */
-static const char *find_home(const struct quota *quota, const char *account)
+static bool was_asked(const GPtrArray *asked, const char *instance)
+{
+	return asked != NULL &&
+	       g_ptr_array_find_with_equal_func((GPtrArray *)asked, instance,
+						g_str_equal, NULL);
+}
+
+/* The home of an account, by rendezvous hashing over the live instances without
+ * those in @p asked, which may be NULL. */
+static const char *find_home(const struct quota *quota, const char *account,
+			     const GPtrArray *asked)
 {
 	const char *home = quota->id;
 	uint64_t home_rank = rng_rank(account, home);
@@ -225,7 +239,7 @@
 	while (g_hash_table_iter_next(&it, &other, NULL)) {
 		uint64_t rank = rng_rank(account, other);
 
-		if (rank <= home_rank)
+		if (rank <= home_rank || was_asked(asked, other))
 			continue;
 		home = other;
 		home_rank = rank;
@@ -248,7 +262,7 @@
 	if (bucket->home_epoch == quota->members_epoch)
 		return;
 	g_free(bucket->home);
-	bucket->home = g_strdup(find_home(quota, account));
+	bucket->home = g_strdup(find_home(quota, account, NULL));
 	bucket->is_home =
 		alive >= needed && strcmp(bucket->home, quota->id) == 0;
 	bucket->home_epoch = quota->members_epoch;
@@ -297,8 +311,7 @@
 
 	update_home(quota, account, bucket);
 	bucket->divided = at_home == 0;
-	bucket->acts_as_home =
-		bucket->is_home && now - quota->contact_ms <= HOME_LEASE_MS;
+	bucket->acts_as_home = bucket->is_home && quota_has_contact(quota, now);
 	if (bucket->acts_as_home)
 		share += at_home;
 	capacity = MAX(limit->burst * share, at_home > 0 ? 0 : 1.0) +
@@ -372,12 +385,6 @@
 		       : (double)WAIT_MAX_MS;
 }
 
-static bool was_asked(const GPtrArray *asked, const char *instance)
-{
-	return g_ptr_array_find_with_equal_func((GPtrArray *)asked, instance,
-						g_str_equal, NULL);
-}
-
 const char *quota_pick_lender(struct quota *quota, const char *account,
 			      const struct quota_limit *limit,
 			      const GPtrArray *asked)
@@ -389,11 +396,12 @@
 	gpointer instance;
 	gpointer p;
 
-	update_home(quota, account, bucket);
-	if (home_share(quota, limit->burst) > 0 &&
-	    strcmp(bucket->home, quota->id) != 0 &&
-	    !was_asked(asked, bucket->home))
-		return bucket->home;
+	if (home_share(quota, limit->burst) > 0) {
+		best = find_home(quota, account, asked);
+		if (strcmp(best, quota->id) != 0)
+			return best;
+		best = NULL;
+	}
 	g_hash_table_iter_init(&it, bucket->reports);
 	while (g_hash_table_iter_next(&it, &instance, &p)) {
 		struct report *report = p;
@@ -410,6 +418,15 @@
 	return best;
 }
 
+bool quota_is_elsewhere(struct quota *quota, const char *account,
+			const struct quota_limit *limit)
+{
+	struct bucket *bucket = get_bucket(quota, account);
+
+	update_home(quota, account, bucket);
+	return home_share(quota, limit->burst) > 0 && !bucket->is_home;
+}
+
 uint32_t quota_lend(struct quota *quota, const char *account,
 		    const struct quota_limit *limit, uint32_t wanted,
 		    bool new_program, int64_t now, int64_t *wait_ms)
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -52,6 +52,8 @@
 /** Confirms that this instance is in contact with the others. It may act as a
  * home until shortly after, so not when it resumes after a pause. */
 void quota_confirm_contact(struct quota *quota, int64_t now);
+/** Whether this instance was in contact with the others until now. */
+bool quota_has_contact(const struct quota *quota, int64_t now);
 /** Whether limits are divided by demand, so that reports are needed. */
 bool quota_divides_limits(const struct quota *quota);
 
@@ -81,12 +83,17 @@
 /** Returns the time in which this instance's bucket gains one token, in ms. */
 double quota_interval_ms(struct quota *quota, const char *account,
 			 const struct quota_limit *limit);
-/** Returns the instance to borrow from, or NULL: the account's home, if it has
- * one, or the instance with the most spare tokens, less those borrowed since
- * its last report. Instances in @p asked are left out. */
+/** Returns the instance to borrow from, or NULL: the account's home or those
+ * that come next, if it has one; or the instance with the most spare tokens,
+ * less those borrowed since its last report. Instances in @p asked are left
+ * out. */
 const char *quota_pick_lender(struct quota *quota, const char *account,
 			      const struct quota_limit *limit,
 			      const GPtrArray *asked);
+/** Whether the tokens of @p account are at another instance, so that a shortage
+ * here does not mean that the account has used up its limit. */
+bool quota_is_elsewhere(struct quota *quota, const char *account,
+			const struct quota_limit *limit);
 /**
  * Takes up to @p wanted tokens out of the bucket for another instance.
  *
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -7,8 +7,9 @@
 #include "clock.h"
 
 enum {
-	LEND_TIMEOUT_MS = 12, /* a round trip takes 1 to 5 ms */
-	LENDERS_MAX = 3,      /* asked per shortage; a grant ends it */
+	LEND_TIMEOUT_MS = 12,	  /* a round trip takes 1 to 5 ms */
+	LENDERS_MAX = 3,	  /* asked per shortage; a grant ends it */
+	NO_CONTACT_RETRY_MS = 50, /* the caller reaches another instance */
 };
 
 struct queue {
@@ -101,7 +102,7 @@
 	return queue;
 }
 
-static void finish_wait(struct adm_waiter *waiter, bool admitted,
+static void finish_wait(struct adm_waiter *waiter, enum adm_result result,
 			int64_t wait_ms)
 {
 	adm_callback *callback = waiter->callback;
@@ -110,7 +111,20 @@
 	cds_list_del(&waiter->node);
 	waiter->queue->waiter_count--;
 	g_free(waiter);
-	callback(arg, admitted, wait_ms);
+	callback(arg, result, wait_ms);
+}
+
+/* Refuses a request that no instance lent a token for. If the tokens are at an
+ * instance that did not answer, another one may reach it at once. */
+static void refuse(struct adm_waiter *waiter, int64_t wait_ms)
+{
+	const struct queue *queue = waiter->queue;
+
+	if (quota_is_elsewhere(queue->adm->quota, queue->account,
+			       &waiter->limit))
+		finish_wait(waiter, ADM_NO_CONTACT, NO_CONTACT_RETRY_MS);
+	else
+		finish_wait(waiter, ADM_OVER_LIMIT, wait_ms);
 }
 
 /* The first waiter that begins a program, or the first that does not; NULL if
@@ -140,9 +154,9 @@
 		if (quota_take(queue->adm->quota, queue->account,
 			       &waiter->limit, waiter->begins, now_ms,
 			       &wait_ms))
-			finish_wait(waiter, true, 0);
+			finish_wait(waiter, ADM_ADMITTED, 0);
 		else if (now_ms >= waiter->expires_ms)
-			finish_wait(waiter, false, wait_ms);
+			refuse(waiter, wait_ms);
 		else
 			return wait_ms;
 	}
@@ -183,7 +197,8 @@
 	if (queue->ask_again_ms != 0)
 		g_ptr_array_set_size(queue->asked_lenders, 0);
 	queue->ask_again_ms = 0;
-	if (queue->asked_lenders->len >= LENDERS_MAX)
+	if (queue->asked_lenders->len >= LENDERS_MAX ||
+	    !quota_has_contact(adm->quota, now_ms))
 		return;
 	lender = quota_pick_lender(adm->quota, queue->account, &first->limit,
 				   queue->asked_lenders);
@@ -206,7 +221,7 @@
 
 	cds_list_for_each_entry_safe(waiter, next, &queue->waiters, node) {
 		if (waiter->expires_ms < queue->ask_again_ms)
-			finish_wait(waiter, false,
+			finish_wait(waiter, ADM_OVER_LIMIT,
 				    queue->ask_again_ms - now_ms);
 	}
 }
@@ -226,7 +241,7 @@
 		if (waiter->begins != begins)
 			continue;
 		if (token_ms > (double)(waiter->expires_ms - now_ms))
-			finish_wait(waiter, false, (int64_t)token_ms);
+			refuse(waiter, (int64_t)token_ms);
 		else
 			token_ms += quota_interval_ms(queue->adm->quota,
 						      queue->account,
@@ -286,7 +301,7 @@
 	if ((cds_list_empty(&queue->waiters) ||
 	     (!begins && first_waiter(queue, false) == NULL)) &&
 	    quota_take(adm->quota, account, limit, begins, now_ms, &wait_ms)) {
-		callback(arg, true, 0);
+		callback(arg, ADM_ADMITTED, 0);
 		return NULL;
 	}
 	waiter = g_new0(struct adm_waiter, 1);
--- a/serve/admission.h
+++ b/serve/admission.h
@@ -18,9 +18,16 @@
 /** A request that waits for quota. */
 struct adm_waiter;
 
-/** Called once: the request may be sent, or is refused; then @p wait_ms is the
- * time after which the caller should retry. */
-typedef void adm_callback(void *arg, bool admitted, int64_t wait_ms);
+/** Whether a request may be sent. */
+enum adm_result {
+	ADM_ADMITTED,
+	ADM_OVER_LIMIT, /**< the account has used up its limit */
+	ADM_NO_CONTACT, /**< the instance that has its tokens does not answer */
+};
+
+/** Called once; if the request is refused, @p wait_ms is the time after which
+ * the caller should retry. */
+typedef void adm_callback(void *arg, enum adm_result result, int64_t wait_ms);
 
 struct adm *adm_create(struct event_base *base, struct quota *quota);
 void adm_destroy(struct adm *adm);
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -252,17 +252,22 @@
 	     begins_program(x) ? "true" : "false");
 }
 
-static void on_quota(void *arg, bool admitted, int64_t wait_ms)
+static void on_quota(void *arg, enum adm_result result, int64_t wait_ms)
 {
 	struct exch *x = arg;
 
 	x->waiter = NULL;
-	if (admitted) {
+	if (result == ADM_ADMITTED) {
 		x->quota_taken = true;
 		start_admitted(x);
 		return;
 	}
 	log_quota(x);
+	if (result == ADM_NO_CONTACT) {
+		stats_count(STATS_REFUSED_NO_CONTACT);
+		exch_reply_error(x, 503, "no contact for quota", wait_ms);
+		return;
+	}
 	stats_count(STATS_REFUSED_QUOTA);
 	exch_reply_error(x, 429, "over quota", wait_ms);
 }
--- a/serve/members.c
+++ b/serve/members.c
@@ -23,6 +23,8 @@
 	/* The configuration is 1 to 2 s old on an instance that reaches the
 	 * store. */
 	RELAY_CONFIG_MAX_AGE_MS = 2600,
+	/* In a fleet that starts, rows appear for some seconds. */
+	EARLY_READS = 3,
 	MEMBERS_MAX = 4096, /* datagrams with forged ids add no more */
 	/* Rows are read often while more than 1 in 8 members are silent. */
 	MANY_SILENT_PART = 8,
@@ -139,7 +141,7 @@
 		count += !gone;
 	}
 	members->count = count;
-	if (members->rows_read)
+	if (members->reads > 0)
 		quota_set_instances(members->config.quota, count);
 }
 
@@ -267,7 +269,7 @@
 			members,
 			&g_array_index(reply->rows, struct store_row, i),
 			now_ms);
-	members->rows_read = true;
+	members->reads++;
 	members->read_ms = now_ms;
 	update_gone(members);
 	remove_dead_rows(members, reply, now_ms);
@@ -282,8 +284,9 @@
 	members->write_call = NULL;
 	/* Half a renewal early, so that jitter does not skip one. */
 	if (members->read_call != NULL || members->leaving ||
-	    (members->rows_read && read_age_ms + renew_period_ms(members) / 2 <
-					   read_period_ms(members)))
+	    (members->reads >= EARLY_READS &&
+	     read_age_ms + renew_period_ms(members) / 2 <
+		     read_period_ms(members)))
 		return;
 	members->read_call =
 		store_read(members->config.store, MEMBERS_TABLE, MEMBERS_PART,
@@ -435,7 +438,7 @@
 uint32_t members_share_of(const struct members *members, const char *resource,
 			  uint32_t units)
 {
-	if (!members->rows_read)
+	if (members->reads == 0)
 		return 0;
 	return share_units(units, members->count,
 			   rank_for(members, resource, true));
--- a/serve/members_int.h
+++ b/serve/members_int.h
@@ -50,7 +50,7 @@
 	uint32_t heartbeat;
 	uint32_t count;	 /**< instances that may send requests */
 	int64_t read_ms; /**< when the rows were last read */
-	bool rows_read;	 /**< at least once */
+	uint32_t reads;	 /**< complete reads of the rows */
 	bool leaving;
 };
 
--- a/serve/members_net.c
+++ b/serve/members_net.c
@@ -255,10 +255,21 @@
 	}
 }
 
+/* Tells the others of an instance that this one did not know. */
+static void introduce(struct members *members, const Rows__Probe *probe,
+		      int64_t now_ms)
+{
+	struct live_rumor rumor = {.kind = LIVE_ALIVE, .epoch = probe->epoch};
+
+	g_strlcpy(rumor.id, probe->id, sizeof(rumor.id));
+	(void)live_on_rumor(members->live, &rumor, now_ms);
+}
+
 static void handle_probe(struct members *members, const Rows__Probe *probe,
 			 const struct sockaddr_in *from)
 {
 	int64_t now_ms = clock_boot_ms();
+	bool known = g_hash_table_contains(members->by_id, probe->id);
 	struct member *member;
 
 	if (strcmp(probe->id, members->config.id) == 0) {
@@ -273,6 +284,8 @@
 	member->addr = *from;
 	member->heard_ms = now_ms;
 	member->config_age_ms = probe->config_age_ms;
+	if (!known)
+		introduce(members, probe, now_ms);
 	live_on_heard(members->live, probe->id, probe->epoch, now_ms);
 	for (size_t i = 0; i < probe->n_rumors; i++)
 		handle_rumor(members, probe->rumors[i], now_ms);
--- a/serve/stats.c
+++ b/serve/stats.c
@@ -17,6 +17,7 @@
 	[STATS_REFUSED_KEY] = "refused_total{cause=\"key\"}",
 	[STATS_REFUSED_ROUTE] = "refused_total{cause=\"route\"}",
 	[STATS_REFUSED_QUOTA] = "refused_total{cause=\"quota\"}",
+	[STATS_REFUSED_NO_CONTACT] = "refused_total{cause=\"no_contact\"}",
 	[STATS_REFUSED_BUDGET] = "refused_total{cause=\"budget\"}",
 	[STATS_REFUSED_NO_TURN] = "refused_total{cause=\"no such turn\"}",
 	[STATS_REFUSED_STORE] = "refused_total{cause=\"store\"}",
--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -17,15 +17,17 @@
 struct decision {
 	int calls;
 	bool admitted;
+	enum adm_result result;
 	int64_t wait_ms;
 };
 
-static void on_decided(void *arg, bool admitted, int64_t wait_ms)
+static void on_decided(void *arg, enum adm_result result, int64_t wait_ms)
 {
 	struct decision *decision = arg;
 
 	decision->calls++;
-	decision->admitted = admitted;
+	decision->admitted = result == ADM_ADMITTED;
+	decision->result = result;
 	decision->wait_ms = wait_ms;
 }
 
@@ -124,6 +126,45 @@
 	tear_down(&fx);
 }
 
+/* In a large fleet the tokens are at the account's home. An instance without
+ * contact refuses at once, and does not say that the limit is used up. */
+static void test_no_contact_is_not_over_limit(void **state)
+{
+	struct fixture fx = set_up();
+	struct quota_limit limit = {1000, 1000, 0};
+	struct decision decision = {0};
+	bool elsewhere = false;
+
+	(void)state;
+	quota_set_instances(fx.quota, 300);
+	for (int i = 0; i < 299; i++) {
+		char id[16];
+
+		g_snprintf(id, sizeof(id), "j%d", i);
+		quota_add_instance(fx.quota, id);
+	}
+	for (int i = 0; i < 100 && !elsewhere; i++) {
+		char account[16];
+
+		g_snprintf(account, sizeof(account), "a%d", i);
+		elsewhere = quota_is_elsewhere(fx.quota, account, &limit);
+		/* The share of this instance is used up first. */
+		while (elsewhere &&
+		       quota_take(fx.quota, account, &limit, false,
+				  clock_boot_ms(), &decision.wait_ms)) {
+		}
+		if (elsewhere)
+			adm_acquire(fx.adm, account, &limit, false, 100,
+				    on_decided, &decision);
+	}
+	assert_true(elsewhere);
+	run_loop(&fx, 10);
+	assert_int_equal(decision.calls, 1);
+	assert_int_equal(decision.result, ADM_NO_CONTACT);
+	assert_in_range(decision.wait_ms, 1, 100);
+	tear_down(&fx);
+}
+
 static void test_cancelled_wait_is_not_decided(void **state)
 {
 	struct fixture fx = set_up();
@@ -147,6 +188,7 @@
 		cmocka_unit_test(test_decided_exactly_once),
 		cmocka_unit_test(test_request_waits_for_token),
 		cmocka_unit_test(test_refused_early_without_token_in_time),
+		cmocka_unit_test(test_no_contact_is_not_over_limit),
 		cmocka_unit_test(test_cancelled_wait_is_not_decided),
 	};
 
--- a/test/unit/test_live.c
+++ b/test/unit/test_live.c
@@ -24,7 +24,9 @@
 	ZONES = 5,
 	DELAY_MS = 2,		 /* of a datagram */
 	AGREED_WITHIN_MS = 2500, /* 99 of 100 know of a change by then */
-	SETTLE_MS = 8000,	 /* a round of probes over the whole fleet */
+	/* Users allow for as long without contact before bounds hold again. */
+	MANY_AGREED_WITHIN_MS = 5000,
+	SETTLE_MS = 8000, /* a round of probes over the whole fleet */
 	/* The users allow 2 KB a second for control; headers not counted. */
 	BYTES_PER_S_MAX = 2048,
 	PROBE_BYTES = 36, /* of a datagram without rumors */
@@ -229,8 +231,7 @@
 	start_fleet(FLEET, 0.01, 1);
 	for (int i = 0; i < FLEET; i++)
 		nodes[i].down = zone(i) == 2 || i % 6 == 1;
-	run(AGREED_WITHIN_MS);
-	for(int k=0;k<20;k++){printf("%d %f %lu\n",k,agreement(), (unsigned long)(bytes_sent/FLEET));run(250);}
+	run(MANY_AGREED_WITHIN_MS);
 	assert_true(agreement() > 0.99);
 	assert_int_equal(false_alarms, 0);
 	for (int i = 0; i < FLEET; i++) {
@@ -356,7 +357,7 @@
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
 		start_fleet(sizes[i], 0.01, 1);
-		run(20000);printf("%d: %lu\n", sizes[i], (unsigned long)bytes_sent / 20 / (uint64_t)sizes[i]);
+		run(20000);
 		assert_true(bytes_sent / 20 / (uint64_t)sizes[i] <=
 			    BYTES_PER_S_MAX);
 		assert_int_equal(false_alarms, 0);
