Placement in large fleets: a few servers for each program, the same on all instances

Cause: at 90 instances an instance hardly ever hears of an engine's load, so all costs tie and the tie is broken by the hash of the shared prompt part: all instances of a zone choose the same engines (busiest over mean 1.90), and a program's next turn, which comes through another instance, goes to an engine without its history. fleet_pick() now ranks servers by the program (or the object, or the request) by rendezvous hashing and compares only a few of them beyond 16 instances; fleet_pick.c is split from fleet.c. Up to 16 instances nothing changes. Ruled out: random choice among equals (no history met again); comparing all (the herd that was seen).

--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -2,27 +2,18 @@
 #include <math.h>
 #include <string.h>
 
-#include "fleet.h"
+#include "fleet_int.h"
 
 enum {
-	LOAD_REPORT_DECAY_MS = 400, /* time constant */
-	AVOID_FIRST_MS = 250,	    /* backoff after a first failure */
-	AVOID_MAX_MS = 2000,	    /* by then the list is up to date again */
-	AVOID_REPLACED_MS = 3000,   /* by then the list has the new server */
-	COLD_WINDOW_MS = 1000,	    /* of the rate limit of a cold server */
+	AVOID_FIRST_MS = 250,	  /* backoff after a first failure */
+	AVOID_MAX_MS = 2000,	  /* by then the list is up to date again */
+	AVOID_REPLACED_MS = 3000, /* by then the list has the new server */
+	COLD_WINDOW_MS = 1000,	  /* of the rate limit of a cold server */
 	SEND_SKEW_MS = 150, /* requests may arrive closer than they were sent */
 };
 
-/* Cost of a server without a free slot, compared with one that has one. */
-#define FULL_PENALTY_MS 500.0
-/* Cost of a failed request: the round trip and the next attempt. */
-#define FAULT_COST_MS 400.0
 /* Time constant with which the fault rate decays. */
 #define FAULTS_DECAY_MS 2000.0
-/* Part of the expected stream time that counts as cost, and its maximum: the
- * measured gap also includes waiting for other requests. */
-#define PACE_WEIGHT 0.3
-#define PACE_MAX_MS 400.0
 /* Weight of a new value; the average spans about the last ten. */
 #define EWMA_WEIGHT 0.1
 
@@ -71,7 +62,7 @@
 	g_free(server);
 }
 
-static GPtrArray *get_service_servers(struct fleet *fleet, const char *name)
+GPtrArray *fleet_service_servers(struct fleet *fleet, const char *name)
 {
 	GPtrArray *servers = g_hash_table_lookup(fleet->services, name);
 
@@ -85,7 +76,8 @@
 static void unlist_server(struct fleet *fleet, struct fleet_server *server)
 {
 	server->listed = false;
-	g_ptr_array_remove(get_service_servers(fleet, server->service), server);
+	g_ptr_array_remove(fleet_service_servers(fleet, server->service),
+			   server);
 	fleet->close_idle(server);
 	fleet_unref(server);
 }
@@ -126,7 +118,7 @@
 	server->send_times = g_queue_new();
 	server->idle = g_queue_new();
 	g_hash_table_insert(fleet->servers, server->id, server);
-	g_ptr_array_add(get_service_servers(fleet, server->service), server);
+	g_ptr_array_add(fleet_service_servers(fleet, server->service), server);
 	return server;
 }
 
@@ -227,22 +219,7 @@
 		fn(server, arg);
 }
 
-static bool is_in_service(const struct fleet_server *server)
-{
-	return server->listed && !server->draining && !server->evacuated;
-}
-
-static bool was_tried(const struct fleet_server *server,
-		      const struct fleet_query *query)
-{
-	for (guint i = 0; query->tried != NULL && i < query->tried->len; i++) {
-		if (strcmp(g_ptr_array_index(query->tried, i), server->id) == 0)
-			return true;
-	}
-	return false;
-}
-
-static void drop_old_sends(struct fleet_server *server, int64_t now)
+void fleet_drop_old_sends(struct fleet_server *server, int64_t now)
 {
 	int64_t since = now - COLD_WINDOW_MS - SEND_SKEW_MS;
 
@@ -251,54 +228,8 @@
 		g_free(g_queue_pop_head(server->send_times));
 }
 
-/* Whether this instance has used up its share of a cold server's rate. */
-static bool is_cold_and_busy(struct fleet_server *server,
-			     const struct fleet_query *query, int64_t now)
-{
-	if (query->cold_per_s <= 0 || now >= server->cold_until_ms)
-		return false;
-	drop_old_sends(server, now);
-	return g_queue_get_length(server->send_times) >=
-	       query->cold_share(query->cold_share_arg, server->id,
-				 (uint32_t)query->cold_per_s);
-}
-
-/* Whether this instance has used up its share of the server's connections. */
-static bool is_out_of_connections(const struct fleet_server *server,
-				  const struct fleet_query *query)
-{
-	uint32_t share = query->max_conns / MAX(query->instances, 1);
-
-	return query->max_conns > 0 && server->running >= MAX(share, 1);
-}
-
-/* The last load report, decayed with age, plus our requests since then. */
-static double estimate_load(const struct fleet_server *server, int64_t now)
-{
-	double reported = server->reported_running + server->reported_waiting;
-	double sent_since =
-		(double)server->running - (double)server->running_then;
-	double age = (double)(now - server->reported_at_ms);
-
-	if (server->reported_at_ms == 0 || age > 4.0 * LOAD_REPORT_DECAY_MS)
-		return server->running;
-	reported *= exp(-age / LOAD_REPORT_DECAY_MS);
-	return MAX(reported + sent_since, (double)server->running);
-}
-
-/* Breaks ties by affinity, in the same order on all instances. */
-static bool ranks_above(const char *id, uint64_t affinity, const char *other)
-{
-	uint64_t a = g_str_hash(id) * 0x9e3779b97f4a7c15ULL ^ affinity;
-	uint64_t b = g_str_hash(other) * 0x9e3779b97f4a7c15ULL ^ affinity;
-
-	a *= 0xff51afd7ed558ccdULL;
-	b *= 0xff51afd7ed558ccdULL;
-	return (a ^ (a >> 33)) > (b ^ (b >> 33));
-}
-
 /* The rate decays, so that a server avoided for its faults is tried again. */
-static double decayed_faults(const struct fleet_server *server, int64_t now)
+double fleet_decayed_faults(const struct fleet_server *server, int64_t now)
 {
 	return server->fault_rate *
 	       exp((double)(server->fault_rate_ms - now) / FAULTS_DECAY_MS);
@@ -306,101 +237,20 @@
 
 static void note_fault(struct fleet_server *server, bool fault, int64_t now)
 {
-	double faults = decayed_faults(server, now);
+	double faults = fleet_decayed_faults(server, now);
 
 	server->fault_rate =
 		faults + EWMA_WEIGHT * ((fault ? 1.0 : 0.0) - faults);
 	server->fault_rate_ms = now;
 }
 
-/* @p best_gap stands in for an unknown time between events. */
-static double placement_cost_ms(const struct fleet_server *server,
-				const struct fleet_query *query,
-				double best_gap, int64_t now)
-{
-	double gap = server->event_gap_ms > 0 ? server->event_gap_ms : best_gap;
-	double load = estimate_load(server, now);
-	double cost = load * query->request_cost_ms +
-		      MIN(gap * query->events, PACE_MAX_MS) * PACE_WEIGHT +
-		      decayed_faults(server, now) * FAULT_COST_MS;
-
-	if (load >= server->slots)
-		cost += FULL_PENALTY_MS + 50.0 * (load - server->slots);
-	if (strcmp(server->zone, query->zone) != 0)
-		cost += query->cross_zone_ms;
-	if (query->preferred_id != NULL &&
-	    strcmp(server->id, query->preferred_id) != 0)
-		cost += query->affinity_miss_ms;
-	if (now < server->avoid_until_ms)
-		cost += 1000.0;
-	return cost;
-}
-
-static double shortest_event_gap(const GPtrArray *servers)
-{
-	double best = 0;
-
-	for (guint i = 0; servers != NULL && i < servers->len; i++) {
-		double gap =
-			((struct fleet_server *)g_ptr_array_index(servers, i))
-				->event_gap_ms;
-
-		if (gap > 0 && (best <= 0 || gap < best))
-			best = gap;
-	}
-	return best;
-}
-
-struct fleet_server *fleet_pick(struct fleet *fleet,
-				const struct fleet_query *query, int64_t now,
-				enum fleet_pick_status *why)
-{
-	GPtrArray *servers =
-		g_hash_table_lookup(fleet->services, query->service);
-	struct fleet_server *best = NULL;
-	double best_cost = 0;
-	double best_gap = shortest_event_gap(servers);
-
-	*why = FLEET_NO_SERVER;
-	for (guint i = 0; servers != NULL && i < servers->len; i++) {
-		struct fleet_server *server = g_ptr_array_index(servers, i);
-		double cost;
-
-		if (!is_in_service(server))
-			continue;
-		if (was_tried(server, query)) {
-			if (*why == FLEET_NO_SERVER)
-				*why = FLEET_ALL_TRIED;
-			continue;
-		}
-		if (is_cold_and_busy(server, query, now)) {
-			*why = FLEET_ALL_COLD;
-			continue;
-		}
-		if (is_out_of_connections(server, query)) {
-			*why = FLEET_ALL_FULL;
-			continue;
-		}
-		cost = placement_cost_ms(server, query, best_gap, now);
-		if (best == NULL || cost < best_cost ||
-		    (cost == best_cost &&
-		     ranks_above(server->id, query->affinity, best->id))) {
-			best = server;
-			best_cost = cost;
-		}
-	}
-	if (best != NULL)
-		*why = FLEET_FOUND;
-	return best;
-}
-
 void fleet_on_send(struct fleet_server *server, int64_t now)
 {
 	int64_t *sent_ms = g_new(int64_t, 1);
 
 	*sent_ms = now;
 	server->running++;
-	drop_old_sends(server, now);
+	fleet_drop_old_sends(server, now);
 	g_queue_push_tail(server->send_times, sent_ms);
 }
 
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -64,6 +64,8 @@
 	const char *zone;	  /**< of this instance */
 	const char *preferred_id; /**< server that has its state, or NULL */
 	uint64_t affinity; /**< equal for requests that share state; or 0 */
+	/** Servers are ranked by this, equally on all instances; or 0. */
+	uint64_t placement_key;
 	double affinity_miss_ms; /**< cost of another server than preferred */
 	double cross_zone_ms;	 /**< cost of a server in another zone */
 	double request_cost_ms;	 /**< cost of each request at the server */
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "decide/rng.h"
 #include "exchange_int.h"
 #include "platform/wire.h"
 #include "slog.h"
@@ -435,6 +436,23 @@
 	return (double)x->call.max_tokens / MAX(x->service->stride, 1) / 2;
 }
 
+/* What the servers for this request are ranked by, equally on all instances:
+ * its program, the object that it concerns, or else the request itself. */
+static uint64_t placement_key(const struct exch *x)
+{
+	if (x->service->engine && x->call.program != NULL)
+		return rng_hash(x->call.program);
+	return x->call.affinity != 0 ? x->call.affinity : rng_hash(x->call.id);
+}
+
+/* Extra time at a server that has not served the same program or object. */
+static double affinity_miss_ms(const struct exch *x)
+{
+	return x->service->engine || x->call.affinity != 0
+		       ? AFFINITY_MISS_COST_MS
+		       : 0;
+}
+
 static uint32_t cold_share(void *arg, const char *server, uint32_t units)
 {
 	return members_share_of(arg, server, units);
@@ -448,7 +466,8 @@
 		.zone = x->shared->zone,
 		.preferred_id = preferred_server(x),
 		.affinity = x->call.shared ^ x->call.affinity,
-		.affinity_miss_ms = AFFINITY_MISS_COST_MS,
+		.placement_key = placement_key(x),
+		.affinity_miss_ms = affinity_miss_ms(x),
 		.cross_zone_ms = CROSS_ZONE_COST_MS,
 		.request_cost_ms =
 			x->service->engine ? TURN_COST_MS : CALL_COST_MS,
