Placement: the pace of streams does not outweigh a program's ranked server

Cause: beyond 16 instances a turn whose session is not known here still counted the measured gap between events (tens of ms on slow engines) against a miss of the history (12 ms), so turns left the server that their program is ranked to.

--- a/decide/fleet_pick.c
+++ b/decide/fleet_pick.c
@@ -195,6 +195,16 @@
 	return usable;
 }
 
+/* The first server has the program's history, if this instance knows nothing
+ * better; that counts more than the pace of streams. */
+static void prefer_first(struct fleet_query *query, const GArray *ranked)
+{
+	query->events = 0;
+	if (query->preferred_id == NULL)
+		query->preferred_id =
+			g_array_index(ranked, struct candidate, 0).server->id;
+}
+
 struct fleet_server *fleet_pick(struct fleet *fleet,
 				const struct fleet_query *query, int64_t now,
 				enum fleet_pick_status *why)
@@ -210,11 +220,8 @@
 	*why = FLEET_NO_SERVER;
 	usable = rank_usable(servers, query, now, why);
 	count = candidates_count(query, usable->len);
-	/* Its first server has the program's history, if this instance knows
-	 * nothing better. */
-	if (count < usable->len && query->preferred_id == NULL)
-		refined.preferred_id =
-			g_array_index(usable, struct candidate, 0).server->id;
+	if (count < usable->len)
+		prefer_first(&refined, usable);
 	for (guint i = 0; i < usable->len; i++) {
 		struct fleet_server *server =
 			g_array_index(usable, struct candidate, i).server;
--- a/test/unit/test_fleet.c
+++ b/test/unit/test_fleet.c
@@ -341,6 +341,14 @@
 	struct rng rng;
 };
 
+/* Streams of some servers looked slower than others', for a while. */
+static void pace_by_id(struct fleet_server *server, void *arg)
+{
+	(void)arg;
+	fleet_update_event_gap(server,
+			       4.0 + (double)(rng_hash(server->id) % 8));
+}
+
 static void blind_fleet_init(struct blind_fleet *blind)
 {
 	memset(blind, 0, sizeof(*blind));
@@ -355,6 +363,7 @@
 			put_server(blind->instances[i], id,
 				   j % 3 == 0 ? "a" : "b", false, 0, 0);
 		}
+		fleet_foreach(blind->instances[i], pace_by_id, NULL);
 	}
 }
 
@@ -394,6 +403,7 @@
 	query.zone = instance % 3 == 0 ? "a" : "b";
 	query.instances = FLEET_INSTANCES;
 	query.affinity = program % 16 + 1;
+	query.events = 8;
 	query.placement_key = ranked ? rng_mix(program + 1) : 0;
 	run.server =
 		fleet_pick(blind->instances[instance], &query, now, &reason);
