Homes after a restart: contact at once, a restart credit, unanswered requests doubt an instance

Now the rows are read before the own row is written, probes go out as soon as the instances are known, contact is renewed by each datagram; an account at a home that restarted, and whose row shows a start more than 12 s ago, has a quarter of a second of its rate and half of the slack; an instance that leaves requests for tokens unanswered is probed at once and suspected after 300 ms in place of 1,000. In a large fleet all of a limit is at its home: the twentieth that was spread was less than a token for each.

--- a/decide/live.c
+++ b/decide/live.c
@@ -11,6 +11,8 @@
 	/* A probe is repeated each period; this covers several losses and a
 	 * short pause of the other instance. */
 	SUSPECT_AFTER_MS = 1000,
+	/* For an instance that did not answer a request either. */
+	DOUBTED_AFTER_MS = 300,
 	WITNESSES_NEEDED = 3,	 /* fewer in a fleet that has fewer */
 	SUSPICION_TTL_MS = 4000, /* of one witness, unless it repeats it */
 	MISSED_ROUNDS_MAX = 2, /* so many are enough without other witnesses */
@@ -34,6 +36,7 @@
 	int64_t witnessed_ms[WITNESSES_NEEDED];
 	bool silent;
 	bool leaving;
+	bool doubted; /* did not answer a request */
 };
 
 struct queued_rumor {
@@ -308,16 +311,14 @@
 {
 	if (peer->probed_since_ms == 0)
 		return;
-	if (now - peer->probed_since_ms < SUSPECT_AFTER_MS) {
+	if (now - peer->probed_since_ms <
+	    (peer->doubted ? DOUBTED_AFTER_MS : SUSPECT_AFTER_MS)) {
 		live->io.probe(live->io.arg, peer->id);
 		return;
 	}
-	if (live_is_isolated(live, now)) {
-		peer->probed_since_ms = 0;
-		return;
-	}
 	peer->probed_since_ms = 0;
-	if (peer->silent)
+	peer->doubted = false;
+	if (peer->silent || live_is_isolated(live, now))
 		return;
 	spread(live, LIVE_SUSPECTED, peer->id, peer->epoch, now);
 	add_witness(live, peer, live->witness, now);
@@ -403,9 +404,21 @@
 	if (peer->probed_since_ms != 0)
 		peer->answered_ms = now;
 	peer->probed_since_ms = 0;
+	peer->doubted = false;
 	clear_suspicions(live, peer);
 }
 
+void live_doubt(struct live *live, const char *id, int64_t now)
+{
+	struct peer *peer = g_hash_table_lookup(live->by_id, id);
+
+	if (peer == NULL || peer->silent || peer->doubted)
+		return;
+	peer->doubted = true;
+	peer->probed_since_ms = now;
+	live->io.probe(live->io.arg, peer->id);
+}
+
 /* Refutes a rumor that this instance is silent or has left. */
 static void refute(struct live *live, const struct live_rumor *rumor,
 		   int64_t now)
--- a/decide/live.h
+++ b/decide/live.h
@@ -71,6 +71,9 @@
 
 /** Starts a period: sends probes and suspects instances without an answer. */
 void live_tick(struct live *live, int64_t now);
+/** An instance did not answer a request in time: probes it at once, and
+ * suspects it sooner than usual if it does not answer that either. */
+void live_doubt(struct live *live, const char *id, int64_t now);
 /** Handles any datagram of another instance; ignores unknown ones. */
 void live_on_heard(struct live *live, const char *id, uint64_t epoch,
 		   int64_t now);
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -11,9 +11,13 @@
 #define EVEN_SHARE 0.05
 /* Part of the burst that is reserved for programs in progress. */
 #define RESERVE_SHARE 0.5
-/* Part of a small limit that is at the account's home; the rest is for
- * instances that can't reach it. */
+/* Part of a small limit that is at the account's home in a small fleet; the
+ * rest is for instances that can't reach it. In a large one that would be less
+ * than a token for each. */
 #define HOME_SHARE 0.95
+/* Tokens of an account after a restart, beside half of the slack, in seconds of
+ * its rate; within the excess that is allowed in a window. */
+#define RESTART_CREDIT_S 0.25
 /* Tokens that a lender keeps for its own callers, in seconds of demand. */
 #define LENDER_RESERVE_S 0.1
 /* Total demand below this counts as none, in requests a second. */
@@ -24,6 +28,7 @@
 	WAIT_MAX_MS = 1000,
 	REPORT_FRESH_MS = 600,	/* allows for two lost reports */
 	FEW_INSTANCES_MAX = 16, /* up to here limits are divided by demand */
+	RESTART_MS = 5000,	/* after that no restart credit is given */
 	HOME_LEASE_MS = 1000,	/* after the last contact with the others */
 	BORROWED_LIFETIME_MS = 400, /* for requests whose caller has left */
 };
@@ -41,6 +46,7 @@
 	char *home;	     /* id of the account's home */
 	bool is_home;	     /* this instance is, by majority */
 	bool acts_as_home;   /* and was in contact at the last refill */
+	bool credited;	     /* has had its restart credit */
 	bool divided;	     /* the limit is divided by demand */
 	uint32_t home_epoch; /* membership epoch for which home was computed */
 };
@@ -58,6 +64,7 @@
 	int64_t started_ms;
 	uint32_t members_epoch; /* counts changes of the set of instances */
 	uint32_t instances;
+	bool restart_credit; /* for accounts at home here */
 	int64_t contact_ms; /* last confirmed contact; may be far in the past */
 	GHashTable *alive;  /* instances that respond */
 	GHashTable *known;  /* instances whose demand is known */
@@ -172,6 +179,11 @@
 	quota->contact_ms = now;
 }
 
+void quota_allow_restart_credit(struct quota *quota)
+{
+	quota->restart_credit = true;
+}
+
 bool quota_has_contact(const struct quota *quota, int64_t now)
 {
 	return now - quota->contact_ms <= HOME_LEASE_MS;
@@ -275,9 +287,9 @@
  */
 static double home_share(const struct quota *quota, double burst)
 {
-	if (!quota_divides_limits(quota) || burst / quota->instances < 1.0)
-		return HOME_SHARE;
-	return 0;
+	if (!quota_divides_limits(quota))
+		return 1;
+	return burst / quota->instances < 1.0 ? HOME_SHARE : 0;
 }
 
 static double compute_share(const struct quota *quota, struct bucket *bucket,
@@ -300,6 +312,17 @@
 	return EVEN_SHARE * even + (1 - EVEN_SHARE) * bucket->demand / all;
 }
 
+/* Tokens that an account has at once after its home has restarted. */
+static double restart_credit(const struct quota *quota, struct bucket *bucket,
+			     const struct quota_limit *limit, int64_t now)
+{
+	if (bucket->credited || !quota->restart_credit ||
+	    now - quota->started_ms > RESTART_MS)
+		return 0;
+	bucket->credited = true;
+	return RESTART_CREDIT_S * limit->rate + limit->slack / 2;
+}
+
 /* Adds the tokens since the last refill, at the present share. */
 static void refill(struct quota *quota, const char *account,
 		   struct bucket *bucket, const struct quota_limit *limit,
@@ -323,6 +346,8 @@
 	bucket->share = share;
 	bucket->tokens += limit->rate * share *
 			  (double)(now - bucket->filled_ms) / 1000.0;
+	if (bucket->acts_as_home)
+		bucket->tokens += restart_credit(quota, bucket, limit, now);
 	bucket->tokens = MIN(bucket->tokens, capacity);
 	bucket->backlog -= limit->rate * share *
 			   (double)(now - bucket->filled_ms) / 1000.0;
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -52,6 +52,9 @@
 /** Confirms that this instance is in contact with the others. It may act as a
  * home until shortly after, so not when it resumes after a pause. */
 void quota_confirm_contact(struct quota *quota, int64_t now);
+/** This instance has started, and its last start was long ago: where it acts as
+ * home, it may start with some tokens, as the others' burst is spent by now. */
+void quota_allow_restart_credit(struct quota *quota);
 /** Whether this instance was in contact with the others until now. */
 bool quota_has_contact(const struct quota *quota, int64_t now);
 /** Whether limits are divided by demand, so that reports are needed. */
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -190,6 +190,11 @@
 		queue->asked_twice = true;
 		g_ptr_array_set_size(queue->asked_lenders,
 				     (gint)queue->asked_lenders->len - 1);
+	} else if (queue->asked_ms != 0 && queue->asked_lenders->len > 0) {
+		members_report_unanswered(
+			adm->members,
+			g_ptr_array_index(queue->asked_lenders,
+					  queue->asked_lenders->len - 1));
 	}
 	queue->asked_ms = 0;
 	if (queue->ask_again_ms > now_ms)
--- a/serve/members.c
+++ b/serve/members.c
@@ -25,6 +25,11 @@
 	RELAY_CONFIG_MAX_AGE_MS = 2600,
 	/* In a fleet that starts, rows appear for some seconds. */
 	EARLY_READS = 3,
+	/* More than twice the window over which limits are judged. */
+	RESTART_CREDIT_AFTER_MS = 12000,
+	/* A fleet that starts at once does not write all rows at once. */
+	FIRST_RENEWAL_SPACING_MS = 5,
+	FIRST_READ_RETRY_MS = 250,
 	MEMBERS_MAX = 4096, /* datagrams with forged ids add no more */
 	/* Rows are read often while more than 1 in 8 members are silent. */
 	MANY_SILENT_PART = 8,
@@ -180,10 +185,25 @@
 	(void)what;
 	live_tick(members->live, now_ms);
 	update_gone(members);
+	members_confirm_contact(members, now_ms);
+}
+
+void members_confirm_contact(struct members *members, int64_t now_ms)
+{
 	if (!live_is_isolated(members->live, now_ms))
 		quota_confirm_contact(members->config.quota, now_ms);
 }
 
+/* The row of this instance's last start. One that is long ago has not left a
+ * burst of requests behind. */
+static void apply_own_row(struct members *members, const Rows__Member *message)
+{
+	if (members->reads == 0 &&
+	    members->config.epoch >
+		    message->incarnation + RESTART_CREDIT_AFTER_MS)
+		quota_allow_restart_credit(members->config.quota);
+}
+
 static void apply_member_row(struct members *members,
 			     const struct store_row *row, int64_t now_ms)
 {
@@ -194,12 +214,13 @@
 
 	if (row->value == NULL)
 		return;
-	if (strcmp(row->key, members->config.id) == 0) {
-		members->row_version = row->version;
-		return;
-	}
 	data = g_bytes_get_data(row->value, &len);
 	message = rows__member__unpack(NULL, len, data);
+	if (message != NULL && strcmp(row->key, members->config.id) == 0) {
+		apply_own_row(members, message);
+		rows__member__free_unpacked(message, NULL);
+		return;
+	}
 	member = message != NULL ? members_get(members, row->key) : NULL;
 	if (member == NULL) {
 		slog("peer_fault", NULL, "\"step\":\"row\",\"peer\":%s",
@@ -256,14 +277,33 @@
 	}
 }
 
+static void schedule_renewal(struct members *members, int64_t delay_ms)
+{
+	struct timeval tv = clock_timeval(delay_ms);
+
+	event_add(members->renew_timer, &tv);
+}
+
+/* The instances are known: nothing that needs contact with them has to wait for
+ * the next period. Only now is the row of the last start overwritten. */
+static void start_contact(struct members *members, int64_t now_ms)
+{
+	live_tick(members->live, now_ms);
+	schedule_renewal(members, (int64_t)(members->hash % members->count) *
+					  FIRST_RENEWAL_SPACING_MS);
+}
+
 static void on_rows(void *arg, const struct store_response *reply)
 {
 	struct members *members = arg;
 	int64_t now_ms = clock_boot_ms();
 
 	members->read_call = NULL;
-	if (reply->result != STORE_OK)
+	if (reply->result != STORE_OK) {
+		if (members->reads == 0)
+			schedule_renewal(members, FIRST_READ_RETRY_MS);
 		return;
+	}
 	for (guint i = 0; i < reply->rows->len; i++)
 		apply_member_row(
 			members,
@@ -272,25 +312,37 @@
 	members->reads++;
 	members->read_ms = now_ms;
 	update_gone(members);
+	if (members->reads == 1)
+		start_contact(members, now_ms);
 	remove_dead_rows(members, reply, now_ms);
 }
 
+static void read_rows(struct members *members)
+{
+	if (members->read_call == NULL)
+		members->read_call =
+			store_read(members->config.store, MEMBERS_TABLE,
+				   MEMBERS_PART, NULL, NULL, on_rows, members);
+}
+
+/* Whether the rows should be read after this renewal: half a renewal early, so
+ * that jitter does not skip one. */
+static bool is_read_due(const struct members *members)
+{
+	int64_t age_ms = clock_boot_ms() - members->read_ms;
+
+	return members->reads < EARLY_READS ||
+	       age_ms + renew_period_ms(members) / 2 >= read_period_ms(members);
+}
+
 static void on_renewed(void *arg, const struct store_response *reply)
 {
 	struct members *members = arg;
-	int64_t read_age_ms = clock_boot_ms() - members->read_ms;
 
 	(void)reply; /* a failed renewal is not retried before the next one */
 	members->write_call = NULL;
-	/* Half a renewal early, so that jitter does not skip one. */
-	if (members->read_call != NULL || members->leaving ||
-	    (members->reads >= EARLY_READS &&
-	     read_age_ms + renew_period_ms(members) / 2 <
-		     read_period_ms(members)))
-		return;
-	members->read_call =
-		store_read(members->config.store, MEMBERS_TABLE, MEMBERS_PART,
-			   NULL, NULL, on_rows, members);
+	if (!members->leaving && is_read_due(members))
+		read_rows(members);
 }
 
 static void renew_row(struct members *members)
@@ -318,12 +370,14 @@
 static void on_renew_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct members *members = arg;
-	struct timeval tv = clock_timeval(renew_period_ms(members));
 
 	(void)fd;
 	(void)what;
-	renew_row(members);
-	event_add(members->renew_timer, &tv);
+	if (members->reads > 0)
+		renew_row(members);
+	else
+		read_rows(members);
+	schedule_renewal(members, renew_period_ms(members));
 }
 
 static struct event *add_periodic_timer(struct members *members, int period_ms,
@@ -473,6 +527,11 @@
 	return best ? best->relay : NULL;
 }
 
+void members_report_unanswered(struct members *members, const char *instance)
+{
+	live_doubt(members->live, instance, clock_boot_ms());
+}
+
 void members_leave(struct members *members)
 {
 	members->leaving = true;
--- a/serve/members.h
+++ b/serve/members.h
@@ -72,6 +72,8 @@
 void members_send_borrow(struct members *members, const char *instance,
 			 const char *account, uint32_t wanted, bool begins,
 			 uint32_t serial);
+/** An instance did not answer members_send_borrow(). */
+void members_report_unanswered(struct members *members, const char *instance);
 /** Announces that this instance shuts down. */
 void members_leave(struct members *members);
 
--- a/serve/members_int.h
+++ b/serve/members_int.h
@@ -45,8 +45,7 @@
 	struct store_call *write_call;
 	GHashTable *by_id; /**< id -> struct member */
 	GQueue *suspects;  /**< of struct suspect_report, to be sent */
-	int64_t row_version;
-	uint64_t hash; /**< of this instance's id */
+	uint64_t hash;	   /**< of this instance's id */
 	uint32_t heartbeat;
 	uint32_t count;	 /**< instances that may send requests */
 	int64_t read_ms; /**< when the rows were last read */
@@ -60,6 +59,9 @@
  * no address. */
 bool members_set_address(struct member *member, const char *address);
 
+/** Renews what needs contact with the others, if there is contact. */
+void members_confirm_contact(struct members *members, int64_t now_ms);
+
 /** Binds the socket; returns false and sets errno on failure. */
 bool members_net_open(struct members *members);
 void members_net_close(struct members *members);
--- a/serve/members_net.c
+++ b/serve/members_net.c
@@ -287,6 +287,7 @@
 	if (!known)
 		introduce(members, probe, now_ms);
 	live_on_heard(members->live, probe->id, probe->epoch, now_ms);
+	members_confirm_contact(members, now_ms);
 	for (size_t i = 0; i < probe->n_rumors; i++)
 		handle_rumor(members, probe->rumors[i], now_ms);
 	if (probe->has_reports && probe->reports)
--- a/test/unit/test_live.c
+++ b/test/unit/test_live.c
@@ -224,6 +224,27 @@
 	}
 }
 
+/* An instance that leaves requests unanswered is found sooner than by probes
+ * alone; a request that only got lost makes nobody silent. */
+static void test_unanswered_requests(void **state)
+{
+	start_fleet(FLEET, 0.01, 1);
+	nodes[17].down = true;
+	for (int i = 0; i < 6; i++)
+		live_doubt(nodes[40 * i + 20].live, "i17", now_ms);
+	run(1200);
+	for (int i = 0, known = 0; i < FLEET; i++) {
+		known += i == 17 || live_is_silent(nodes[i].live, "i17");
+		if (i == FLEET - 1)
+			assert_true(known >= FLEET * 99 / 100);
+	}
+	for (int i = 0; i < 6; i++)
+		live_doubt(nodes[40 * i + 21].live, "i18", now_ms);
+	run(2000);
+	assert_int_equal(false_alarms, 0);
+	stop_fleet(state);
+}
+
 /* A zone loses power, and a third of all instances elsewhere. */
 static void test_many_killed_at_once(void **state)
 {
@@ -416,6 +437,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		FLEET_TEST(test_killed_instances_are_found),
+		FLEET_TEST(test_unanswered_requests),
 		FLEET_TEST(test_many_killed_at_once),
 		FLEET_TEST(test_zone_cut),
 		FLEET_TEST(test_isolated_instances),
--- a/test/unit/test_quota.c
+++ b/test/unit/test_quota.c
@@ -329,6 +329,55 @@
 	}
 }
 
+/*
+ * All instances of a large fleet are killed and start again. Their homes have
+ * tokens at once, so programs under way go on; with the restart credit given
+ * only after a long time without a start, the limit holds.
+ */
+static void test_restart_of_all_homes(void **state)
+{
+	uint32_t refused = 0;
+	uint32_t requested = 0;
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= 4; seed++) {
+		struct cluster cluster;
+
+		cluster_init(&cluster, LARGE_CLUSTER, seed, 40, 40);
+		run_load(&cluster, 0, 0, 1000);
+		run_load(&cluster, 400, 1000, 8000);
+		for (int round = 0; round < 3; round++) {
+			int64_t now = 8000 + round * 1000;
+
+			for (int i = 0; i < LARGE_CLUSTER; i++) {
+				quota_destroy(cluster.instances[i]);
+				cluster.instances[i] =
+					quota_create(instance_ids[i], now);
+				quota_set_instances(cluster.instances[i],
+						    LARGE_CLUSTER);
+				if (round == 0)
+					quota_allow_restart_credit(
+						cluster.instances[i]);
+			}
+			gossip(&cluster, now);
+			run_load(&cluster, 400, now, now + 1000);
+		}
+		assert_true(busiest_window(&cluster) <= admitted_max(&cluster));
+		cluster_clear(&cluster);
+
+		cluster_init(&cluster, LARGE_CLUSTER, seed, 40, 40);
+		for (int i = 0; i < LARGE_CLUSTER; i++)
+			quota_allow_restart_credit(cluster.instances[i]);
+		gossip(&cluster, 1);
+		run_load(&cluster, 25, 1, 1000);
+		refused += cluster.refused;
+		requested += cluster.requested;
+		cluster_clear(&cluster);
+	}
+	/* 25 requests of 40 a second, from the first moment on. */
+	assert_true(refused * 20 <= requested);
+}
+
 /* Half of the burst is reserved for requests of running programs. */
 static void test_running_programs_first(void **state)
 {
@@ -433,6 +482,7 @@
 		cmocka_unit_test(test_lowered_limit),
 		cmocka_unit_test(test_cut_off_instances),
 		cmocka_unit_test(test_restarts_add_no_burst),
+		cmocka_unit_test(test_restart_of_all_homes),
 		cmocka_unit_test(test_running_programs_first),
 		cmocka_unit_test(test_returned_tokens_are_capped),
 		cmocka_unit_test(test_home_staggers_retries),
