Cut off servers that send bytes without end; a stalled stream is resumed despite single bytes

Cause: a stream's event was buffered without bound until the caller's deadline, the body of a response that can't be used was read on until then, and each byte of a stream restarted the timer that ends silent attempts. One event has at most 1 MiB, 64 KiB are read of an unusable response or one to another request, and only a complete event counts as progress. The parser's own limit ends an endless head. Tests first, both failed: test_endless_bytes_are_cut_off (7 cases, the first to fail was an endless body), test_stalled_stream_is_resumed.

--- a/serve/exchange_int.h
+++ b/serve/exchange_int.h
@@ -39,10 +39,12 @@
 	struct upstream_call *upstream;
 	struct response response;
 	int64_t sent_ms;
-	int64_t first_event_ms; /* of the current attempt */
-	uint32_t later_events;	/* events after the first one */
-	bool head_received;	/* of the current attempt */
-	bool resume_mismatch;	/* the response does not continue the stream */
+	int64_t first_event_ms;	 /* of the current attempt */
+	uint32_t later_events;	 /* events after the first one */
+	int64_t events_received; /* of all attempts */
+	uint64_t unusable_bytes; /* of a response that is not relayed */
+	bool head_received;	 /* of the current attempt */
+	bool resume_mismatch;	 /* the response does not continue the stream */
 
 	int status;
 	GString *headers;
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -13,6 +13,8 @@
 enum {
 	CONNECT_TIMEOUT_MS = 250,      /* the handshake takes 1 to 5 ms */
 	RESPONSE_MAX_BYTES = 16777216, /* of a response that is buffered */
+	EVENT_MAX_BYTES = 1048576,     /* of one event of a stream */
+	UNUSABLE_MAX_BYTES = 65536,    /* read of a response that is not used */
 	SELECT_RETRY_MS = 8,	       /* while no server has a free slot */
 	/* Costs weighed when a server is selected. */
 	TURN_COST_MS = 1,	/* slowdown by another running turn */
@@ -189,6 +191,7 @@
 	}
 	g_byte_array_append(x->buffered, (const guint8 *)event->raw,
 			    (guint)event->raw_len);
+	x->events_received++;
 	if (x->first_event_ms == 0)
 		x->first_event_ms = clock_boot_ms();
 	else
@@ -247,16 +250,50 @@
 	       x->response.encoded || x->resume_mismatch || x->headers == NULL;
 }
 
+/* Ends an attempt whose response must not reach the caller. */
+static void end_unusable(struct exch *x)
+{
+	if (x->response.misdirected) {
+		fleet_on_replaced(x->server, clock_boot_ms());
+		stats_count(STATS_NOT_EXECUTED);
+		exch_attempt_failed(x, RETRY_NOT_EXECUTED,
+				    "another server there");
+	} else if (x->response.not_executed) {
+		stats_count(STATS_NOT_EXECUTED);
+		exch_attempt_failed(x, RETRY_NOT_EXECUTED, "server refused");
+	} else {
+		exch_attempt_failed(x, RETRY_INTERRUPTED,
+				    "answer not the server's own");
+	}
+}
+
+static void on_stream_body(struct exch *x, const char *data, size_t len)
+{
+	int64_t events = x->events_received;
+
+	splitter_feed(x->splitter, data, len, on_event, x);
+	if (splitter_pending(x->splitter) > EVENT_MAX_BYTES) {
+		exch_attempt_failed(x, RETRY_INTERRUPTED, "event too long");
+		return;
+	}
+	flush_output(x);
+	/* A part of an event is no progress that the caller would see. */
+	if (x->events_received > events)
+		arm_silence_timer(x);
+}
+
 static void on_body(void *arg, const char *data, size_t len)
 {
 	struct exch *x = arg;
 
-	if (is_unusable(x))
+	if (is_unusable(x)) {
+		x->unusable_bytes += len;
+		if (x->unusable_bytes > UNUSABLE_MAX_BYTES)
+			end_unusable(x);
 		return;
+	}
 	if (x->streaming) {
-		splitter_feed(x->splitter, data, len, on_event, x);
-		flush_output(x);
-		arm_silence_timer(x);
+		on_stream_body(x, data, len);
 		return;
 	}
 	if (x->buffered->len + len > RESPONSE_MAX_BYTES) {
@@ -269,21 +306,8 @@
 /* Handles a completely received response. */
 static void on_complete_response(struct exch *x)
 {
-	if (x->response.misdirected) {
-		fleet_on_replaced(x->server, clock_boot_ms());
-		stats_count(STATS_NOT_EXECUTED);
-		exch_attempt_failed(x, RETRY_NOT_EXECUTED,
-				    "another server there");
-		return;
-	}
-	if (x->response.not_executed) {
-		stats_count(STATS_NOT_EXECUTED);
-		exch_attempt_failed(x, RETRY_NOT_EXECUTED, "server refused");
-		return;
-	}
 	if (is_unusable(x)) {
-		exch_attempt_failed(x, RETRY_INTERRUPTED,
-				    "answer not the server's own");
+		end_unusable(x);
 		return;
 	}
 	fleet_on_response(x->server, x->status >= 500, clock_boot_ms());
@@ -357,6 +381,7 @@
 	x->resume_mismatch = false;
 	x->first_event_ms = 0;
 	x->later_events = 0;
+	x->unusable_bytes = 0;
 	memset(&x->response, 0, sizeof(x->response));
 	splitter_reset(x->splitter);
 	if (!x->retry.response_started && x->headers != NULL &&
--- a/serve/upstream.c
+++ b/serve/upstream.c
@@ -13,6 +13,7 @@
 #include "upstream.h"
 
 enum {
+	SKIP_MAX_BYTES = 65536,	    /* of responses to other requests */
 	KEEP_ALIVE_MS = 4000,	    /* if the peer announces no timeout */
 	KEEP_ALIVE_MARGIN_MS = 700, /* closes before the peer does */
 	USER_TIMEOUT_MS = 5000,	    /* limit for unacknowledged data */
@@ -47,6 +48,7 @@
 	const struct upstream_handler *handler;
 	void *arg;
 	bool sent;
+	uint64_t skipped_bytes; /* of responses to other requests */
 	bool skipping; /* interim response, or one to another request */
 	bool complete;
 	bool reusable; /* the connection, after this call */
@@ -179,7 +181,11 @@
 	struct conn *conn = parser->data;
 	struct upstream_call *call = conn->call;
 
-	if (call != NULL && !call->skipping)
+	if (call != NULL && call->skipping) {
+		call->skipped_bytes += len;
+		return call->skipped_bytes > SKIP_MAX_BYTES ? 1 : 0;
+	}
+	if (call != NULL)
 		call->handler->body(call->arg, at, len);
 	return conn->dead ? 1 : 0;
 }
--- a/test/standins/backend.c
+++ b/test/standins/backend.c
@@ -6,6 +6,12 @@
 #include "serve/hdr.h"
 #include "serve/inbound.h"
 
+enum {
+	ENDLESS_GAP_MS = 1,
+	ENDLESS_LINES = 2000, /* of about 24 bytes each */
+	STALLED_GAP_MS = 50,
+};
+
 struct backend {
 	struct event_base *base;
 	struct inbound *inbound;
@@ -90,6 +96,49 @@
 	g_free(stream);
 }
 
+/* Sends the next bytes of a response that has no end. */
+static void on_endless_timer(evutil_socket_t fd, short what, void *arg)
+{
+	static const char fields[] = "X-More: 0123456789abcdef\r\n";
+	static const char body[] = "data: 0123456789abcdef\n";
+	struct stream *stream = arg;
+	enum backend_mode mode = stream->backend->mode;
+	const char *line = mode == BACKEND_ENDLESS_HEAD ? fields : body;
+	struct timeval tv = {.tv_usec = ENDLESS_GAP_MS * 1000};
+
+	(void)fd;
+	(void)what;
+	for (int i = 0; i < ENDLESS_LINES; i++)
+		inbound_write_raw(stream->request, line);
+	event_add(stream->timer, &tv);
+}
+
+/* Begins a response that has no end: neither a length nor chunks. */
+static void start_endless(struct backend *backend,
+			  struct inbound_request *request)
+{
+	struct stream *stream = g_new0(struct stream, 1);
+	struct timeval tv = {.tv_usec = ENDLESS_GAP_MS * 1000};
+	const char *id = backend->mode == BACKEND_ENDLESS_OTHER
+				 ? "other"
+				 : header_or_empty(request, "Request-Id");
+	char *head = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s%s", id,
+		backend->mode == BACKEND_ENDLESS_EVENT
+			? "Response-Signature: sig\r\n"
+			  "Content-Type: text/event-stream\r\n"
+			: "",
+		backend->mode == BACKEND_ENDLESS_HEAD ? "" : "\r\n");
+
+	inbound_write_raw(request, head);
+	g_free(head);
+	stream->backend = backend;
+	stream->request = request;
+	stream->timer = evtimer_new(backend->base, on_endless_timer, stream);
+	request->user_data = stream;
+	event_add(stream->timer, &tv);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct stream *stream = arg;
@@ -123,6 +172,12 @@
 		inbound_abort(request);
 		return;
 	}
+	if (backend->mode == BACKEND_STALLED && stream->next_id == 2) {
+		tv.tv_usec = STALLED_GAP_MS * 1000;
+		inbound_send_chunk(request, ":", 1);
+		event_add(stream->timer, &tv);
+		return;
+	}
 	inbound_send_chunk(request, event, (size_t)len);
 	stream->next_id++;
 	event_add(stream->timer, &tv);
@@ -203,6 +258,11 @@
 		inbound_write_raw(request, "!!! no answer\r\n\r\n");
 		return;
 	}
+	if (backend->mode >= BACKEND_ENDLESS_HEAD &&
+	    backend->mode <= BACKEND_ENDLESS_EVENT) {
+		start_endless(backend, request);
+		return;
+	}
 	if (strstr(request->target, "/turn") != NULL) {
 		start_stream(backend, request, run->last_event_id);
 		return;
--- a/test/standins/backend.h
+++ b/test/standins/backend.h
@@ -27,6 +27,12 @@
 	BACKEND_TRAILING_BYTES, /**< sends more bytes after the response */
 	BACKEND_MALFORMED,	/**< sends bytes that are not HTTP */
 	BACKEND_ERROR,		/**< 500 */
+	/* Bytes without end, until the caller closes the connection. */
+	BACKEND_ENDLESS_HEAD,  /**< of header fields */
+	BACKEND_ENDLESS_BODY,  /**< of a response that is not signed */
+	BACKEND_ENDLESS_OTHER, /**< of a response to another request */
+	BACKEND_ENDLESS_EVENT, /**< of one event in a stream */
+	BACKEND_STALLED,       /**< a byte now and then, of the 2nd event */
 };
 
 /** A request that the server ran. */
--- a/test/unit/test_gateway.c
+++ b/test/unit/test_gateway.c
@@ -105,6 +105,71 @@
 	}
 }
 
+/*
+ * A server that sends bytes without end, which are no answer, is cut off after
+ * a bounded amount, long before the caller's deadline.
+ */
+static void test_endless_bytes_are_cut_off(void **state)
+{
+	static const struct {
+		enum backend_mode mode;
+		bool stream;
+	} cases[] = {
+		{BACKEND_ENDLESS_HEAD, false},	{BACKEND_ENDLESS_BODY, false},
+		{BACKEND_ENDLESS_OTHER, false}, {BACKEND_ENDLESS_HEAD, true},
+		{BACKEND_ENDLESS_BODY, true},	{BACKEND_ENDLESS_OTHER, true},
+		{BACKEND_ENDLESS_EVENT, true},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fixture_response response;
+		struct backend *backend =
+			cases[i].stream ? fx.engines[0] : fx.services[0];
+		guint cut_off = backend_cancelled(backend);
+		char *headers = g_strdup_printf(
+			AUTH_HEADER TURN_HEADERS "Request-Id: e%zu\r\n", i);
+
+		backend_set_mode(backend, cases[i].mode);
+		fixture_send(&response, 0, "POST",
+			     cases[i].stream ? "/kept/turn" : "/order/1",
+			     headers, "x");
+		fixture_run_until(&response.done, 500);
+		g_free(headers);
+		if (!response.done)
+			print_error("case %zu\n", i);
+		assert_true(response.done);
+		assert_int_equal(response.status, 502);
+		assert_null(response.signature);
+		fixture_response_clear(&response);
+		fixture_run_until(NULL, 50);
+		assert_int_equal(backend_cancelled(backend), cut_off + 1);
+		/* A server that failed is avoided for a short time. */
+		fixture_run_until(NULL, 2000);
+	}
+}
+
+/* A stream that stalls but sends a byte now and then is resumed elsewhere. */
+static void test_stalled_stream_is_resumed(void **state)
+{
+	struct fixture_response response;
+
+	(void)state;
+	backend_set_mode(fx.engines[0], BACKEND_STALLED);
+	fixture_send(&response, 0, "POST", "/free/turn",
+		     AUTH_HEADER "Request-Id: t1\r\nToken-Usage: 10,60\r\n",
+		     "x");
+	fixture_run_until(NULL, 3);
+	fixture_put_server("e2", "engines", ENGINE_2_ADDRESS, "ready");
+	fixture_run_until(&response.done, 1500);
+	assert_true(response.done);
+	assert_int_equal(response.end, UPSTREAM_COMPLETE);
+	assert_string_equal(response.body->str,
+			    "id: 1\ndata: e1-1\n\nid: 2\ndata: e2-2\n\n"
+			    "id: 3\ndata: e2-3\n\nid: 4\ndata: e2-4\n\n");
+	fixture_response_clear(&response);
+}
+
 static void test_idempotent_request_is_retried(void **state)
 {
 	struct fixture_response response;
@@ -455,6 +520,8 @@
 		FIXTURE_TEST(test_basic_request),
 		FIXTURE_TEST(test_refusals),
 		FIXTURE_TEST(test_faulty_responses_are_not_relayed),
+		FIXTURE_TEST(test_endless_bytes_are_cut_off),
+		FIXTURE_TEST(test_stalled_stream_is_resumed),
 		FIXTURE_TEST(test_idempotent_request_is_retried),
 		FIXTURE_TEST(test_turn_history),
 		FIXTURE_TEST(test_history_survives_instance_replacement),
