--- a/decide/quota.c
+++ b/decide/quota.c
@@ -46,6 +46,7 @@
 	char *home;	     /* id of the account's home */
 	bool is_home;	     /* this instance is, by majority */
 	bool acts_as_home;   /* and was in contact at the last refill */
+	bool refilled;	     /* at least once */
 	bool credited;	     /* has had its restart credit */
 	bool divided;	     /* the limit is divided by demand */
 	uint32_t home_epoch; /* membership epoch for which home was computed */
@@ -64,7 +65,10 @@
 	int64_t started_ms;
 	uint32_t members_epoch; /* counts changes of the set of instances */
 	uint32_t instances;
-	bool restart_credit; /* for accounts at home here */
+	bool restart_credit;	  /* for accounts at home here */
+	int64_t contact_since_ms; /* contact without a break since then */
+	int64_t changed_ms; /* last change of the set of instances, at most one
+			     * period later */
 	int64_t contact_ms; /* last confirmed contact; may be far in the past */
 	GHashTable *alive;  /* instances that respond */
 	GHashTable *known;  /* instances whose demand is known */
@@ -89,6 +93,8 @@
 	quota->members_epoch = 1;
 	quota->instances = INSTANCES_INITIAL;
 	quota->contact_ms = G_MININT32;
+	quota->contact_since_ms = now;
+	quota->changed_ms = now;
 	quota->known =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	quota->alive =
@@ -133,6 +139,13 @@
 	bucket->demand_at_ms = now;
 }
 
+/* The set of instances changed, and with it the homes of some accounts. */
+static void note_change(struct quota *quota)
+{
+	quota->members_epoch++;
+	quota->changed_ms = MAX(quota->contact_ms, quota->started_ms);
+}
+
 void quota_report_demand(struct quota *quota, const char *instance,
 			 const char *account, double per_s, double tokens,
 			 int64_t now)
@@ -171,11 +184,13 @@
 void quota_add_instance(struct quota *quota, const char *instance)
 {
 	if (g_hash_table_add(quota->alive, g_strdup(instance)))
-		quota->members_epoch++;
+		note_change(quota);
 }
 
 void quota_confirm_contact(struct quota *quota, int64_t now)
 {
+	if (!quota_has_contact(quota, now))
+		quota->contact_since_ms = now;
 	quota->contact_ms = now;
 }
 
@@ -197,7 +212,7 @@
 void quota_mark_silent(struct quota *quota, const char *instance)
 {
 	if (g_hash_table_remove(quota->alive, instance))
-		quota->members_epoch++;
+		note_change(quota);
 }
 
 void quota_remove_instance(struct quota *quota, const char *instance)
@@ -210,7 +225,7 @@
 void quota_set_instances(struct quota *quota, uint32_t count)
 {
 	if (quota->instances != MAX(count, 1))
-		quota->members_epoch++;
+		note_change(quota);
 	quota->instances = MAX(count, 1);
 }
 
@@ -323,6 +338,25 @@
 	return RESTART_CREDIT_S * limit->rate + limit->slack / 2;
 }
 
+/*
+ * Updates whether this instance acts as the account's home. Tokens accrue only
+ * from when it surely did: not over a pause, nor over the time in which another
+ * one was home.
+ */
+static void set_acting(const struct quota *quota, struct bucket *bucket,
+		       bool acting, int64_t now)
+{
+	int64_t since_ms = quota->contact_since_ms;
+
+	if (acting && !bucket->acts_as_home)
+		since_ms = bucket->refilled ? now
+					    : MAX(since_ms, quota->changed_ms);
+	if (acting)
+		bucket->filled_ms = MAX(bucket->filled_ms, since_ms);
+	bucket->acts_as_home = acting;
+	bucket->refilled = true;
+}
+
 /* Adds the tokens since the last refill, at the present share. */
 static void refill(struct quota *quota, const char *account,
 		   struct bucket *bucket, const struct quota_limit *limit,
@@ -334,7 +368,8 @@
 
 	update_home(quota, account, bucket);
 	bucket->divided = at_home == 0;
-	bucket->acts_as_home = bucket->is_home && quota_has_contact(quota, now);
+	set_acting(quota, bucket,
+		   bucket->is_home && quota_has_contact(quota, now), now);
 	if (bucket->acts_as_home)
 		share += at_home;
 	capacity = MAX(limit->burst * share, at_home > 0 ? 0 : 1.0) +
--- a/test/unit/test_quota.c
+++ b/test/unit/test_quota.c
@@ -329,6 +329,113 @@
 	}
 }
 
+/* Returns the instance that holds nearly all of the limit, or -1. */
+static int find_home(struct cluster *cluster)
+{
+	for (int i = 0; i < cluster->n; i++) {
+		struct quota_view view;
+		int64_t wait_ms;
+
+		quota_take(cluster->instances[i], "a", &cluster->limit, true, 0,
+			   &wait_ms);
+		quota_inspect(cluster->instances[i], "a", &view);
+		if (view.home)
+			return i;
+	}
+	return -1;
+}
+
+/*
+ * A home that was paused has a right that ran out meanwhile: it lends nothing
+ * until it is in contact again, and no more than for the time since.
+ */
+static void test_paused_home_lends_nothing(void **state)
+{
+	struct cluster cluster;
+	int64_t wait_ms;
+	struct quota *home;
+	uint32_t lent = 0;
+
+	(void)state;
+	cluster_init(&cluster, LARGE_CLUSTER, 1, 10, 10);
+	for (int64_t now = 0; now <= 5000; now += GOSSIP_INTERVAL_MS)
+		gossip(&cluster, now);
+	home = cluster.instances[find_home(&cluster)];
+	assert_true(quota_lend(home, "a", &cluster.limit, 1, false, 5100,
+			       &wait_ms) == 1);
+	assert_int_equal(
+		quota_lend(home, "a", &cluster.limit, 1, false, 9000, &wait_ms),
+		0);
+	quota_confirm_contact(home, 9010);
+	while (quota_lend(home, "a", &cluster.limit, 1, false, 9110,
+			  &wait_ms) == 1)
+		lent++;
+	assert_true(lent <= 1);
+	cluster_clear(&cluster);
+}
+
+/* The instances learn at different times that the home is silent, or back. */
+static void change_views(struct cluster *cluster, int home, bool silent,
+			 const int64_t *learn_ms, int64_t now)
+{
+	for (int i = 0; i < cluster->n; i++) {
+		if (i == home || learn_ms[i] != now)
+			continue;
+		if (silent)
+			quota_mark_silent(cluster->instances[i],
+					  instance_ids[home]);
+		else
+			quota_add_instance(cluster->instances[i],
+					   instance_ids[home]);
+	}
+}
+
+/*
+ * The home of an overloaded account is cut off, and comes back. The others
+ * notice each within a second, so for a while there are two homes.
+ */
+static void test_two_homes_stay_within_limit(void **state)
+{
+	(void)state;
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		int64_t learn_ms[INSTANCES_MAX];
+		struct cluster cluster;
+		int home;
+
+		cluster_init(&cluster, LARGE_CLUSTER, seed, 100, 100);
+		gossip(&cluster, 1);
+		home = find_home(&cluster);
+		for (int64_t now = 0; now < 14000; now++) {
+			bool cut = now >= 6000 && now < 9000;
+
+			for (int i = 0; now % 250 == 0 && i < cluster.n; i++) {
+				if (i != home || !cut)
+					quota_confirm_contact(
+						cluster.instances[i], now);
+			}
+			if (now == 6000 || now == 9000) {
+				for (int i = 0; i < cluster.n; i++)
+					learn_ms[i] =
+						now + 900 +
+						(int64_t)rng_below(&cluster.rng,
+								   100);
+			}
+			if (now >= 6000)
+				change_views(&cluster, home, now < 9000,
+					     learn_ms, now);
+			/* The load begins long before, or as the home returns.
+			 */
+			if (now >= (seed % 2 == 0 ? 0 : 9000))
+				request(&cluster,
+					(int)rng_below(&cluster.rng,
+						       (uint64_t)cluster.n),
+					false, now);
+		}
+		assert_true(busiest_window(&cluster) <= admitted_max(&cluster));
+		cluster_clear(&cluster);
+	}
+}
+
 /*
  * All instances of a large fleet are killed and start again. Their homes have
  * tokens at once, so programs under way go on; with the restart credit given
@@ -417,22 +524,6 @@
 	quota_destroy(quota);
 }
 
-/* Returns the instance that holds nearly all of the limit, or -1. */
-static int find_home(struct cluster *cluster)
-{
-	for (int i = 0; i < cluster->n; i++) {
-		struct quota_view view;
-		int64_t wait_ms;
-
-		quota_take(cluster->instances[i], "a", &cluster->limit, true, 0,
-			   &wait_ms);
-		quota_inspect(cluster->instances[i], "a", &view);
-		if (view.home)
-			return i;
-	}
-	return -1;
-}
-
 /* Borrowers that find no tokens at the home get staggered retry times, and each
  * finds a token then. New programs leave half of the burst to running ones. */
 static void test_home_staggers_retries(void **state)
@@ -447,8 +538,8 @@
 
 	(void)state;
 	cluster_init(&cluster, LARGE_CLUSTER, 1, 10, 10);
-	gossip(&cluster, 0);
-	gossip(&cluster, 5000);
+	for (int64_t now = 0; now <= 5000; now += GOSSIP_INTERVAL_MS)
+		gossip(&cluster, now);
 	home_index = find_home(&cluster);
 	assert_true(home_index >= 0);
 	home = cluster.instances[home_index];
@@ -482,6 +573,8 @@
 		cmocka_unit_test(test_lowered_limit),
 		cmocka_unit_test(test_cut_off_instances),
 		cmocka_unit_test(test_restarts_add_no_burst),
+		cmocka_unit_test(test_paused_home_lends_nothing),
+		cmocka_unit_test(test_two_homes_stay_within_limit),
 		cmocka_unit_test(test_restart_of_all_homes),
 		cmocka_unit_test(test_running_programs_first),
 		cmocka_unit_test(test_returned_tokens_are_capped),
