--- a/decide/live.c
+++ b/decide/live.c
@@ -265,7 +265,7 @@
 }
 
 /* Several witnesses do not hear @p peer: all others need not ask as well. */
-static void find_silent(struct live *live, struct peer *peer, int64_t now)
+static void declare_silent(struct live *live, struct peer *peer, int64_t now)
 {
 	if (peer->silent)
 		return;
@@ -303,7 +303,7 @@
 		count += peer->witnessed_ms[i] > now - SUSPICION_TTL_MS &&
 			 peer->witnessed_ms[i] != 0;
 	if (count >= needed)
-		find_silent(live, peer, now);
+		declare_silent(live, peer, now);
 }
 
 /* Ends probes that got no answer in time; repeats the others. */
@@ -323,7 +323,7 @@
 	spread(live, LIVE_SUSPECTED, peer->id, peer->epoch, now);
 	add_witness(live, peer, live->witness, now);
 	if (++peer->missed_rounds >= MISSED_ROUNDS_MAX)
-		find_silent(live, peer, now);
+		declare_silent(live, peer, now);
 }
 
 static void probe_next(struct live *live, guint position, int64_t now)
