Log what closes an idle connection and what a configuration takes to apply

input_dropped (line and counter) says that a connection was closed with bytes that had been received; the config line has size, parsing time and timeouts.

--- a/serve/inbound.c
+++ b/serve/inbound.c
@@ -13,6 +13,8 @@
 #include "clock.h"
 #include "hdr.h"
 #include "inbound.h"
+#include "slog.h"
+#include "stats.h"
 
 enum {
 	INBOUND_SWEEP_MS = 250, /* between checks of the timeouts */
@@ -366,6 +368,22 @@
 	inbound->count++;
 }
 
+/* Closes a connection that has been idle for too long. */
+static void close_idle_conn(struct inbound_conn *conn, int64_t age_ms)
+{
+	size_t received = evbuffer_get_length(bufferevent_get_input(conn->bev));
+
+	stats_count(STATS_IDLE_CLOSED);
+	if (received > 0) {
+		stats_count(STATS_INPUT_DROPPED);
+		slog("input_dropped", NULL,
+		     "\"bytes\":%zu,\"idle_ms\":%" G_GINT64_FORMAT
+		     ",\"limit_ms\":%" G_GINT64_FORMAT,
+		     received, age_ms, conn->inbound->limits.idle_timeout_ms);
+	}
+	conn_free(conn);
+}
+
 static void sweep_conn(struct inbound_conn *conn, int64_t now_ms)
 {
 	int64_t age_ms = now_ms - conn->state_since_ms;
@@ -373,7 +391,7 @@
 	switch (conn->state) {
 	case CONN_IDLE:
 		if (age_ms > conn->inbound->limits.idle_timeout_ms)
-			conn_free(conn);
+			close_idle_conn(conn, age_ms);
 		break;
 	case CONN_HEADER:
 		if (age_ms > conn->inbound->limits.header_timeout_ms)
--- a/serve/watcher.c
+++ b/serve/watcher.c
@@ -150,6 +150,7 @@
 	gsize len;
 	const char *text;
 	struct catalog *catalog;
+	int64_t started_ms = clock_boot_ms();
 
 	if (row->value == NULL)
 		return;
@@ -169,10 +170,15 @@
 	}
 	slog("config", NULL,
 	     "\"version\":%" G_GINT64_FORMAT ",\"before\":%" G_GINT64_FORMAT
-	     ",\"row_version\":%" G_GINT64_FORMAT,
+	     ",\"row_version\":%" G_GINT64_FORMAT
+	     ",\"bytes\":%zu,\"parse_ms\":%" G_GINT64_FORMAT
+	     ",\"header_timeout_ms\":%" G_GINT64_FORMAT
+	     ",\"idle_timeout_ms\":%" G_GINT64_FORMAT,
 	     cat_version(catalog),
-	     watcher->catalog ? cat_version(watcher->catalog) : 0,
-	     row->version);
+	     watcher->catalog ? cat_version(watcher->catalog) : 0, row->version,
+	     len, clock_boot_ms() - started_ms,
+	     cat_limits(catalog)->header_timeout_ms,
+	     cat_limits(catalog)->idle_timeout_ms);
 	cat_diff(watcher->catalog, catalog, log_change, catalog);
 	cat_unref(watcher->catalog);
 	watcher->catalog = catalog;
