--- a/test/unit/test_inbound.c
+++ b/test/unit/test_inbound.c
@@ -18,6 +18,9 @@
 	PORT = 18490,
 	STALLED_COUNT = 2000,
 	HEADER_TIMEOUT_MS = 400,
+	IDLE_TIMEOUT_MS = 300,
+	/* More than each timeout, and than the period of its check. */
+	BUSY_MS = 500,
 	BODY_BYTES_MAX = 1000,
 	HEADER_BYTES_MAX = 2000,
 };
@@ -251,6 +254,86 @@
 		close(fds[i]);
 }
 
+static void set_idle_timeout(int64_t ms)
+{
+	struct inbound_limits limits = {HEADER_BYTES_MAX, BODY_BYTES_MAX,
+					HEADER_TIMEOUT_MS, ms};
+
+	inbound_set_limits(fx.inbound, &limits);
+}
+
+static void send_text(int fd, const char *text)
+{
+	assert_int_equal(send(fd, text, strlen(text), MSG_NOSIGNAL),
+			 strlen(text));
+}
+
+/* Runs the loop, and checks that the connection gets a 200 response. */
+static void assert_served(int fd)
+{
+	char response[256];
+	ssize_t n;
+
+	run_loop(50);
+	n = recv(fd, response, sizeof(response) - 1, MSG_DONTWAIT);
+	response[MAX(n, 0)] = '\0';
+	assert_true(g_str_has_prefix(response, "HTTP/1.1 200 "));
+}
+
+#define REQUEST "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+/* Guards against a request that is received, and dropped because the check of
+ * the timeouts is due before the request is parsed. */
+static void test_request_received_at_idle_timeout(void **state)
+{
+	int fd = open_connection();
+
+	(void)state;
+	set_idle_timeout(IDLE_TIMEOUT_MS);
+	run_loop(5);
+	usleep(BUSY_MS * 1000);
+	send_text(fd, REQUEST);
+	assert_served(fd);
+	assert_int_equal(fx.requests, 1);
+	close(fd);
+}
+
+static void on_send_timer(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	send_text(*(int *)arg, REQUEST);
+}
+
+/* The same with a request that arrives between the poll and the check. */
+static void test_request_arriving_at_idle_timeout(void **state)
+{
+	struct timeval tv = {.tv_usec = 10000};
+	int fd = open_connection();
+
+	(void)state;
+	set_idle_timeout(IDLE_TIMEOUT_MS);
+	run_loop(5);
+	event_base_once(fx.base, -1, EV_TIMEOUT, on_send_timer, &fd, &tv);
+	usleep(BUSY_MS * 1000);
+	assert_served(fd);
+	assert_int_equal(fx.requests, 1);
+	close(fd);
+}
+
+static void test_header_received_at_timeout(void **state)
+{
+	int fd = open_connection();
+
+	(void)state;
+	send_text(fd, "GET / HTTP/1.1\r\nHo");
+	run_loop(5);
+	usleep(BUSY_MS * 1000);
+	send_text(fd, "st: h\r\n\r\n");
+	assert_served(fd);
+	close(fd);
+}
+
 #define FIXTURE_TEST(test)                                                     \
 	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
 
@@ -261,6 +344,9 @@
 		FIXTURE_TEST(test_size_limits),
 		FIXTURE_TEST(test_keep_alive),
 		FIXTURE_TEST(test_stalled_headers),
+		FIXTURE_TEST(test_request_received_at_idle_timeout),
+		FIXTURE_TEST(test_request_arriving_at_idle_timeout),
+		FIXTURE_TEST(test_header_received_at_timeout),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
