Do not close a connection on a timeout while received bytes wait to be parsed

Callers saw: a whole request that got neither an answer nor a refusal, beside a change of the configuration, on instances with a small share of a core.

Cause: the timeouts of connections are checked by a timer. When the event loop was busy (three configurations in one turn took a small instance about 60 ms), the bytes of a request and the timer are due in the same turn. The bytes are read into the buffer at once, but parsed by a deferred callback, after the timer. The check knew only the state from before, so it closed the idle connection with the request in it, or answered 408 to a header that was there. Class: a timer that decides on state older than what has been received.

Fix: a connection with bytes in its buffer or its socket has not timed out; they are parsed in the same turn, so it stays open no longer than one check.

--- a/serve/inbound.c
+++ b/serve/inbound.c
@@ -13,7 +13,6 @@
 #include "clock.h"
 #include "hdr.h"
 #include "inbound.h"
-#include "slog.h"
 #include "stats.h"
 
 enum {
@@ -368,20 +367,17 @@
 	inbound->count++;
 }
 
-/* Closes a connection that has been idle for too long. */
-static void close_idle_conn(struct inbound_conn *conn, int64_t age_ms)
+/*
+ * Whether bytes wait to be parsed. They may have come in time, although a busy
+ * event loop sees them only together with a timeout.
+ */
+static bool has_input(struct inbound_conn *conn)
 {
-	size_t received = evbuffer_get_length(bufferevent_get_input(conn->bev));
+	char byte;
 
-	stats_count(STATS_IDLE_CLOSED);
-	if (received > 0) {
-		stats_count(STATS_INPUT_DROPPED);
-		slog("input_dropped", NULL,
-		     "\"bytes\":%zu,\"idle_ms\":%" G_GINT64_FORMAT
-		     ",\"limit_ms\":%" G_GINT64_FORMAT,
-		     received, age_ms, conn->inbound->limits.idle_timeout_ms);
-	}
-	conn_free(conn);
+	return evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0 ||
+	       recv(bufferevent_getfd(conn->bev), &byte, 1,
+		    MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 static void sweep_conn(struct inbound_conn *conn, int64_t now_ms)
@@ -390,15 +386,19 @@
 
 	switch (conn->state) {
 	case CONN_IDLE:
-		if (age_ms > conn->inbound->limits.idle_timeout_ms)
-			close_idle_conn(conn, age_ms);
+		if (age_ms > conn->inbound->limits.idle_timeout_ms &&
+		    !has_input(conn)) {
+			stats_count(STATS_IDLE_CLOSED);
+			conn_free(conn);
+		}
 		break;
 	case CONN_HEADER:
-		if (age_ms > conn->inbound->limits.header_timeout_ms)
+		if (age_ms > conn->inbound->limits.header_timeout_ms &&
+		    !has_input(conn))
 			reject_and_close(conn, 408);
 		break;
 	case CONN_BODY:
-		if (age_ms > INBOUND_BODY_TIMEOUT_MS)
+		if (age_ms > INBOUND_BODY_TIMEOUT_MS && !has_input(conn))
 			reject_and_close(conn, 408);
 		break;
 	case CONN_FLUSH:
@@ -503,8 +503,7 @@
 	struct inbound_conn *next;
 
 	cds_list_for_each_entry_safe(conn, next, &inbound->conns, node) {
-		if (conn->state == CONN_IDLE &&
-		    evbuffer_get_length(bufferevent_get_input(conn->bev)) == 0)
+		if (conn->state == CONN_IDLE && !has_input(conn))
 			conn_free(conn);
 	}
 }
--- a/serve/stats.c
+++ b/serve/stats.c
@@ -32,7 +32,6 @@
 	[STATS_CALLER_LEFT] = "caller_left_total",
 	[STATS_BROKEN_OFF] = "broken_off_total",
 	[STATS_IDLE_CLOSED] = "idle_connections_closed_total",
-	[STATS_INPUT_DROPPED] = "input_dropped_total",
 	[STATS_TURNS_KEPT] = "turns_kept_total",
 	[STATS_PROGRAMS_SWEPT] = "programs_swept_total",
 	[STATS_STORE_READS] = "store_reads_total",
