--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -136,6 +136,8 @@
 		exch_send(x);
 		return;
 	}
+	if (upstream_put_off(x->upstream, x->timer, &x->silence_until_ms))
+		return;
 	upstream_cancel(x->upstream);
 	x->upstream = NULL;
 	exch_attempt_failed(x, RETRY_INTERRUPTED, "server silent");
@@ -147,6 +149,10 @@
 
 	(void)fd;
 	(void)what;
+	if (x->upstream != NULL &&
+	    upstream_put_off(x->upstream, x->deadline_timer,
+			     &x->overtime_until_ms))
+		return;
 	stats_count(STATS_TIMED_OUT);
 	if (!x->retry.response_started && x->retry.possible_runs == 0 &&
 	    x->upstream == NULL && x->retry.sends == 0)
--- a/serve/exchange_int.h
+++ b/serve/exchange_int.h
@@ -57,6 +57,9 @@
 	bool upstream_complete; /* the server's response is complete */
 	bool first_event_seen;
 
+	/* Ends of the times by which the timers were put off; 0: not yet. */
+	int64_t overtime_until_ms; /* of the deadline */
+	int64_t silence_until_ms;
 	struct event *deadline_timer;
 	struct event *timer; /* next server selection, or a silent server */
 };
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -207,6 +207,7 @@
 {
 	int64_t ms;
 
+	x->silence_until_ms = 0;
 	x->retry.remaining_ms = x->deadline_at_ms - clock_boot_ms();
 	/* The attempt in progress counts as a run. */
 	x->retry.possible_runs++;
--- a/serve/inbound.c
+++ b/serve/inbound.c
@@ -13,6 +13,7 @@
 #include "clock.h"
 #include "hdr.h"
 #include "inbound.h"
+#include "input.h"
 #include "stats.h"
 
 enum {
@@ -367,19 +368,6 @@
 	inbound->count++;
 }
 
-/*
- * Whether bytes wait to be parsed. They may have come in time, although a busy
- * event loop sees them only together with a timeout.
- */
-static bool has_input(struct inbound_conn *conn)
-{
-	char byte;
-
-	return evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0 ||
-	       recv(bufferevent_getfd(conn->bev), &byte, 1,
-		    MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 static void sweep_conn(struct inbound_conn *conn, int64_t now_ms)
 {
 	int64_t age_ms = now_ms - conn->state_since_ms;
@@ -387,18 +375,19 @@
 	switch (conn->state) {
 	case CONN_IDLE:
 		if (age_ms > conn->inbound->limits.idle_timeout_ms &&
-		    !has_input(conn)) {
+		    !input_is_pending(conn->bev)) {
 			stats_count(STATS_IDLE_CLOSED);
 			conn_free(conn);
 		}
 		break;
 	case CONN_HEADER:
 		if (age_ms > conn->inbound->limits.header_timeout_ms &&
-		    !has_input(conn))
+		    !input_is_pending(conn->bev))
 			reject_and_close(conn, 408);
 		break;
 	case CONN_BODY:
-		if (age_ms > INBOUND_BODY_TIMEOUT_MS && !has_input(conn))
+		if (age_ms > INBOUND_BODY_TIMEOUT_MS &&
+		    !input_is_pending(conn->bev))
 			reject_and_close(conn, 408);
 		break;
 	case CONN_FLUSH:
@@ -503,7 +492,7 @@
 	struct inbound_conn *next;
 
 	cds_list_for_each_entry_safe(conn, next, &inbound->conns, node) {
-		if (conn->state == CONN_IDLE && !has_input(conn))
+		if (conn->state == CONN_IDLE && !input_is_pending(conn->bev))
 			conn_free(conn);
 	}
 }
--- a/serve/upstream.c
+++ b/serve/upstream.c
@@ -10,6 +10,7 @@
 
 #include "clock.h"
 #include "hdr.h"
+#include "input.h"
 #include "upstream.h"
 
 enum {
@@ -17,6 +18,7 @@
 	KEEP_ALIVE_MS = 4000,	    /* if the peer announces no timeout */
 	KEEP_ALIVE_MARGIN_MS = 700, /* closes before the peer does */
 	USER_TIMEOUT_MS = 5000,	    /* limit for unacknowledged data */
+	PUT_OFF_MAX_MS = 50,	    /* to parse what was received */
 };
 
 struct upstream {
@@ -433,6 +435,23 @@
 	conn_free(conn);
 }
 
+bool upstream_put_off(const struct upstream_call *call, struct event *timer,
+		      int64_t *until_ms)
+{
+	const struct conn *conn = call->conn;
+	struct timeval tv = clock_timeval(1);
+	int64_t now_ms = clock_boot_ms();
+
+	if (!conn->connected || !input_is_pending(conn->bev))
+		return false;
+	if (*until_ms == 0)
+		*until_ms = now_ms + PUT_OFF_MAX_MS;
+	if (now_ms >= *until_ms)
+		return false;
+	event_add(timer, &tv);
+	return true;
+}
+
 void upstream_close_idle(GQueue *idle)
 {
 	struct conn *conn;
