A lowered idle limit applies to a connection from its next request on

A connection keeps the limit under which it became idle, unless the present one is longer.

test_lowered_idle_timeout failed before and passes (3 runs); test_raised_idle_timeout passed before and does.

--- a/serve/inbound.c
+++ b/serve/inbound.c
@@ -55,6 +55,7 @@
 	http_parser parser;
 	enum conn_state state;
 	int64_t state_since_ms;
+	int64_t idle_timeout_ms; /* the limit when it became idle */
 	GString *target;
 	GArray *headers;
 	GByteArray *body;
@@ -85,6 +86,7 @@
 		conn->inbound->requests++;
 	conn->state = state;
 	conn->state_since_ms = clock_boot_ms();
+	conn->idle_timeout_ms = conn->inbound->limits.idle_timeout_ms;
 }
 
 /*
@@ -354,7 +356,7 @@
 	conn->target = g_string_new(NULL);
 	conn->headers = hdr_create();
 	conn->body = g_byte_array_new();
-	conn->state_since_ms = clock_boot_ms();
+	set_state(conn, CONN_IDLE);
 	http_parser_init(&conn->parser, HTTP_REQUEST);
 	conn->parser.data = conn;
 	conn->bev = bufferevent_socket_new(inbound->base, fd,
@@ -368,13 +370,21 @@
 	inbound->count++;
 }
 
+/* A limit that was lowered since the connection became idle does not apply yet:
+ * its caller may count on the one from before. */
+static int64_t idle_timeout_ms(const struct inbound_conn *conn)
+{
+	return MAX(conn->idle_timeout_ms,
+		   conn->inbound->limits.idle_timeout_ms);
+}
+
 static void sweep_conn(struct inbound_conn *conn, int64_t now_ms)
 {
 	int64_t age_ms = now_ms - conn->state_since_ms;
 
 	switch (conn->state) {
 	case CONN_IDLE:
-		if (age_ms > conn->inbound->limits.idle_timeout_ms &&
+		if (age_ms > idle_timeout_ms(conn) &&
 		    !input_is_pending(conn->bev)) {
 			stats_count(STATS_IDLE_CLOSED);
 			conn_free(conn);
--- a/test/unit/test_inbound.c
+++ b/test/unit/test_inbound.c
@@ -334,6 +334,42 @@
 	close(fd);
 }
 
+/* Guards against closing a connection on a timeout that its caller has not been
+ * told yet: a limit that is lowered applies from the next request on. */
+static void test_lowered_idle_timeout(void **state)
+{
+	int fd = open_connection();
+	guint conns;
+	guint requests;
+
+	(void)state;
+	run_loop(IDLE_TIMEOUT_MS + 50);
+	set_idle_timeout(IDLE_TIMEOUT_MS);
+	run_loop(BUSY_MS);
+	send_text(fd, REQUEST);
+	assert_served(fd);
+	run_loop(IDLE_TIMEOUT_MS + BUSY_MS);
+	inbound_count(fx.inbound, &conns, &requests);
+	assert_int_equal(conns, 0);
+	close(fd);
+}
+
+/* A limit that is raised applies at once. */
+static void test_raised_idle_timeout(void **state)
+{
+	int fd;
+
+	(void)state;
+	set_idle_timeout(IDLE_TIMEOUT_MS);
+	fd = open_connection();
+	run_loop(5);
+	set_idle_timeout(60000);
+	run_loop(IDLE_TIMEOUT_MS + BUSY_MS);
+	send_text(fd, REQUEST);
+	assert_served(fd);
+	close(fd);
+}
+
 #define FIXTURE_TEST(test)                                                     \
 	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
 
@@ -347,6 +383,8 @@
 		FIXTURE_TEST(test_request_received_at_idle_timeout),
 		FIXTURE_TEST(test_request_arriving_at_idle_timeout),
 		FIXTURE_TEST(test_header_received_at_timeout),
+		FIXTURE_TEST(test_lowered_idle_timeout),
+		FIXTURE_TEST(test_raised_idle_timeout),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
