A begun stream waits for a server to go on; it is not cut off at once

If no other server could take it at that moment (all tried, cold or without a connection left), the response was cut off at once, so a server's silence ended an answer that its caller would have waited for.

A stream that has begun now waits up to its deadline, as its caller may stop waiting by itself. It ends at once only if no server is in service.

--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -419,11 +419,13 @@
 		x->route->slo_ms, x->deadline_at_ms - x->started_ms);
 	int64_t retry_after_ms = retry_after_hint_ms(x->route->slo_ms);
 
-	if (x->retry.response_started) {
+	if (x->retry.response_started && why == FLEET_NO_SERVER) {
 		exch_fail(x, "no server to go on", 502);
 		return;
 	}
-	if (why != FLEET_NO_SERVER && now_ms - x->started_ms < max_wait_ms) {
+	/* A stream that has begun waits up to its deadline. */
+	if (why != FLEET_NO_SERVER && (x->retry.response_started ||
+				       now_ms - x->started_ms < max_wait_ms)) {
 		if (why == FLEET_ALL_TRIED)
 			g_ptr_array_set_size(x->tried_servers, 0);
 		exch_set_timer(x->timer, SELECT_RETRY_MS);
--- a/test/standins/backend.c
+++ b/test/standins/backend.c
@@ -30,6 +30,7 @@
 	struct event *timer;
 	int64_t next_id; /* ID of the next event; the first is 1 */
 	bool headers_sent;
+	bool stalled; /* a line has been begun */
 };
 
 static void free_run(gpointer p)
@@ -175,9 +176,13 @@
 	if (backend->mode == BACKEND_STALLED && stream->next_id == 2) {
 		tv.tv_usec = STALLED_GAP_MS * 1000;
 		inbound_send_chunk(request, ":", 1);
+		stream->stalled = true;
 		event_add(stream->timer, &tv);
 		return;
 	}
+	if (stream->stalled)
+		inbound_send_chunk(request, "\n", 1);
+	stream->stalled = false;
 	inbound_send_chunk(request, event, (size_t)len);
 	stream->next_id++;
 	event_add(stream->timer, &tv);
--- a/test/unit/test_gateway.c
+++ b/test/unit/test_gateway.c
@@ -170,6 +170,33 @@
 	fixture_response_clear(&response);
 }
 
+/* Guards against cutting off a stream because its server is silent and no other
+ * one can take it at that moment. */
+static void test_silent_stream_waits_for_a_server(void **state)
+{
+	struct fixture_response response;
+
+	(void)state;
+	backend_set_mode(fx.engines[0], BACKEND_STALLED);
+	fixture_send(&response, 0, "POST", "/free/turn",
+		     AUTH_HEADER "Request-Id: t1\r\nToken-Usage: 10,60\r\n",
+		     "x");
+	/* Twice the objective for the time between two events, and more. */
+	fixture_run_until(&response.done, 900);
+	assert_false(response.done);
+	backend_set_mode(fx.engines[0], BACKEND_OK);
+	fixture_run_until(&response.done, 1000);
+	assert_true(response.done);
+	assert_int_equal(response.end, UPSTREAM_COMPLETE);
+	assert_true(
+		g_str_has_prefix(response.body->str, "id: 1\ndata: e1-1\n\n:"));
+	assert_true(g_str_has_suffix(response.body->str,
+				     "\nid: 2\ndata: e1-2\n\n"
+				     "id: 3\ndata: e1-3\n\n"
+				     "id: 4\ndata: e1-4\n\n"));
+	fixture_response_clear(&response);
+}
+
 static void test_idempotent_request_is_retried(void **state)
 {
 	struct fixture_response response;
@@ -522,6 +549,7 @@
 		FIXTURE_TEST(test_faulty_responses_are_not_relayed),
 		FIXTURE_TEST(test_endless_bytes_are_cut_off),
 		FIXTURE_TEST(test_stalled_stream_is_resumed),
+		FIXTURE_TEST(test_silent_stream_waits_for_a_server),
 		FIXTURE_TEST(test_idempotent_request_is_retried),
 		FIXTURE_TEST(test_turn_history),
 		FIXTURE_TEST(test_history_survives_instance_replacement),
