Read the version of a server and what a caller resumes; log both

The server line now names the version, the sent line the version, the last event that the caller has and the attempt that it resumes.

A server whose entry comes back with another version counts as a new start of it, as one with another start time does. No other change of behaviour: test_fleet, test_wire and test_gateway pass.

--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -57,6 +57,7 @@
 	g_free(server->service);
 	g_free(server->address);
 	g_free(server->zone);
+	g_free(server->version);
 	g_queue_free_full(server->send_times, g_free);
 	g_queue_free(server->idle);
 	g_free(server);
@@ -111,6 +112,7 @@
 	server->service = g_strdup(entry->service);
 	server->address = g_strdup(entry->address);
 	server->zone = g_strdup(entry->zone);
+	server->version = g_strdup(entry->version ? entry->version : "");
 	server->started_ms = entry->started_ms;
 	server->listed = true;
 	server->evacuated =
@@ -129,6 +131,8 @@
 	return server->started_ms == entry->started_ms &&
 	       strcmp(server->service, entry->service) == 0 &&
 	       strcmp(server->address, entry->address) == 0 &&
+	       strcmp(server->version, entry->version ? entry->version : "") ==
+		       0 &&
 	       strcmp(server->zone, entry->zone) == 0;
 }
 
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -20,10 +20,11 @@
 	const char *service;
 	const char *address; /**< HOST:PORT */
 	const char *zone;
-	uint32_t slots;	    /**< requests that it runs concurrently */
-	bool draining;	    /**< accepts no new requests */
-	int64_t cold_ms;    /**< remaining warm-up time */
-	int64_t started_ms; /**< start time by its own clock */
+	const char *version; /**< of its software; NULL: unknown */
+	uint32_t slots;	     /**< requests that it runs concurrently */
+	bool draining;	     /**< accepts no new requests */
+	int64_t cold_ms;     /**< remaining warm-up time */
+	int64_t started_ms;  /**< start time by its own clock */
 };
 
 struct fleet_server;
@@ -37,6 +38,7 @@
 	char *service;
 	char *address;
 	char *zone;
+	char *version; /**< of its software; "": unknown */
 	uint32_t slots;
 	bool draining;
 	bool listed;	/**< on the platform's list */
--- a/serve/call.h
+++ b/serve/call.h
@@ -26,6 +26,8 @@
 	uint64_t shared;       /**< hash of the shared prompt prefix; 0: none */
 	uint64_t affinity;     /**< hash of the affinity key; 0: none */
 	int64_t last_event_id; /**< last event the caller received; -1: none */
+	const char *resumes;   /**< id of the attempt that brought the stream's
+				* first event, or NULL */
 };
 
 /** Contents of a backend server's response, without status and body. */
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -397,13 +397,17 @@
 	slog("sent", x->call.id,
 	     "\"server\":%s,\"account\":%s,\"running\":%u,\"told\":%u,"
 	     "\"told_ms\":%" G_GINT64_FORMAT ",\"left_ms\":%" G_GINT64_FORMAT
-	     ",\"route\":%s,\"config\":%" G_GINT64_FORMAT,
+	     ",\"route\":%s,\"config\":%" G_GINT64_FORMAT
+	     ",\"version\":%s,\"after_event\":%" G_GINT64_FORMAT
+	     ",\"resumes\":%s",
 	     slog_quote(server->id), slog_quote(exch_account_name(x)),
 	     server->running,
 	     server->reported_running + server->reported_waiting,
 	     server->reported_at_ms > 0 ? now_ms - server->reported_at_ms : -1,
 	     forward.deadline_ms, slog_quote(x->route->name),
-	     cat_version(x->catalog));
+	     cat_version(x->catalog), slog_quote(server->version),
+	     x->last_event_id,
+	     slog_quote(x->call.resumes ? x->call.resumes : ""));
 	request.head = wire_build_request(x->request, &forward,
 					  g_bytes_get_size(x->body));
 	x->upstream = upstream_send(x->shared->upstream, &request,
--- a/serve/watcher.c
+++ b/serve/watcher.c
@@ -303,9 +303,11 @@
 	if (fleet_update(watcher->fleet, &entry, clock_boot_ms()))
 		slog("server", NULL,
 		     "\"server\":%s,\"state\":\"%s\",\"peer\":%s,"
-		     "\"cold_ms\":%" G_GINT64_FORMAT,
+		     "\"version\":%s,\"cold_ms\":%" G_GINT64_FORMAT,
 		     slog_quote(row->key), entry.draining ? "leaving" : "ready",
-		     slog_quote(entry.address), entry.cold_ms);
+		     slog_quote(entry.address),
+		     slog_quote(entry.version ? entry.version : ""),
+		     entry.cold_ms);
 	json_object_put(root);
 }
 
