--- a/test/gateway/fixture.c
+++ b/test/gateway/fixture.c
@@ -108,19 +108,31 @@
 	g_free(row);
 }
 
-void fixture_put_server(const char *id, const char *service,
-			const char *address, const char *state)
+static void put_server(const char *id, const char *service, const char *address,
+		       const char *state, const char *version)
 {
 	char *row = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\","
-		"\"slots\":8,\"state\":\"%s\",\"cold_left_ms\":0,"
-		"\"born\":1}",
-		service, address, state);
+		"\"version\":\"%s\",\"slots\":8,\"state\":\"%s\","
+		"\"cold_left_ms\":0,\"born\":1}",
+		service, address, version, state);
 
 	rowstore_put(fx.store, "servers", "", id, row);
 	g_free(row);
 }
 
+void fixture_put_server(const char *id, const char *service,
+			const char *address, const char *state)
+{
+	put_server(id, service, address, state, FIXTURE_VERSION);
+}
+
+void fixture_put_engine(const char *id, const char *address,
+			const char *version)
+{
+	put_server(id, "engines", address, "ready", version);
+}
+
 void fixture_send(struct fixture_response *response, int gateway,
 		  const char *method, const char *path, const char *headers,
 		  const char *body)
--- a/test/gateway/fixture.h
+++ b/test/gateway/fixture.h
@@ -58,6 +58,7 @@
 
 extern struct fixture fx;
 
+#define FIXTURE_VERSION "v1"
 #define AUTH_HEADER "Authorization: Bearer key-1\r\n"
 #define TURN_HEADERS "Program-Id: p\r\nSession-Id: s\r\nToken-Usage: 10,60\r\n"
 
@@ -76,9 +77,12 @@
 /** Stores a configuration; @p keys, a list of JSON strings, are the API keys
  * of account t1. */
 void fixture_put_config(int version, const char *keys);
-/** Stores the row of a backend server. */
+/** Stores the row of a backend server, of version FIXTURE_VERSION. */
 void fixture_put_server(const char *id, const char *service,
 			const char *address, const char *state);
+/** Stores the row of a ready engine. */
+void fixture_put_engine(const char *id, const char *address,
+			const char *version);
 /** Sends a request; @p response is filled in while the event loop runs. */
 void fixture_send(struct fixture_response *response, int gateway,
 		  const char *method, const char *path, const char *headers,
