A stream goes on only at the software version that began it

Cause: no part of the gateway knew versions. A broken stream went on at any server, within one response as well as when its caller took it up again through another instance. Class: state of a run that lived in no place that outlives the connection.

Fix, one mechanism for all ways to go on: a stream is tied to the version of the server of its first event, and only servers of that version may get it (fleet_query.version). While an instance sees several versions of a service it stores the version in the program's rows, and passes the first event on once that is done or can't be done; so a stream without a record was begun where one version was seen, and decide/versions says which. A caller that resumes names the attempt that began: its record is read, and if the version can't be known or read the answer is 503 at once, which is true, as nothing was sent.

Cost: no store call while there is one version; one write for each resumable stream while there are several; one read for each stream that is taken up.

--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "fleet_int.h"
+#include "versions.h"
 
 enum {
 	AVOID_FIRST_MS = 250,	  /* backoff after a first failure */
@@ -19,14 +20,23 @@
 
 struct fleet {
 	fleet_close_idle *close_idle;
-	GHashTable *servers;  /* id -> struct fleet_server */
-	GHashTable *services; /* name -> GPtrArray of struct fleet_server */
+	GHashTable *servers;	     /* id -> struct fleet_server */
+	GHashTable *services;	     /* name -> struct fleet_service */
 	GHashTable *evacuated_zones; /* set of names */
 };
 
-static void services_free(gpointer p)
+struct fleet_service {
+	GPtrArray *servers; /* of struct fleet_server */
+	struct versions *versions;
+};
+
+static void service_free(gpointer p)
 {
-	g_ptr_array_free(p, TRUE);
+	struct fleet_service *service = p;
+
+	g_ptr_array_free(service->servers, TRUE);
+	versions_destroy(service->versions);
+	g_free(service);
 }
 
 struct fleet *fleet_create(fleet_close_idle *close_idle)
@@ -36,7 +46,7 @@
 	fleet->close_idle = close_idle;
 	fleet->servers = g_hash_table_new(g_str_hash, g_str_equal);
 	fleet->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-						services_free);
+						service_free);
 	fleet->evacuated_zones =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return fleet;
@@ -63,15 +73,64 @@
 	g_free(server);
 }
 
+static struct fleet_service *get_service(struct fleet *fleet, const char *name)
+{
+	struct fleet_service *service =
+		g_hash_table_lookup(fleet->services, name);
+
+	if (service == NULL) {
+		service = g_new0(struct fleet_service, 1);
+		service->servers = g_ptr_array_new();
+		service->versions = versions_create();
+		g_hash_table_insert(fleet->services, g_strdup(name), service);
+	}
+	return service;
+}
+
 GPtrArray *fleet_service_servers(struct fleet *fleet, const char *name)
 {
-	GPtrArray *servers = g_hash_table_lookup(fleet->services, name);
+	return get_service(fleet, name)->servers;
+}
 
-	if (servers == NULL) {
-		servers = g_ptr_array_new();
-		g_hash_table_insert(fleet->services, g_strdup(name), servers);
+static void observe_versions(struct fleet_service *service, int64_t now)
+{
+	const struct fleet_server *first;
+	bool several = false;
+
+	if (service->servers->len == 0)
+		return;
+	first = g_ptr_array_index(service->servers, 0);
+	for (guint i = 1; i < service->servers->len; i++) {
+		const struct fleet_server *server =
+			g_ptr_array_index(service->servers, i);
+
+		several |= strcmp(server->version, first->version) != 0;
 	}
-	return servers;
+	versions_observe(service->versions, first->version, several, now);
+}
+
+void fleet_observe_versions(struct fleet *fleet, int64_t now)
+{
+	GHashTableIter it;
+	gpointer service;
+
+	g_hash_table_iter_init(&it, fleet->services);
+	while (g_hash_table_iter_next(&it, NULL, &service))
+		observe_versions(service, now);
+}
+
+bool fleet_has_mixed_versions(struct fleet *fleet, const char *service,
+			      int64_t window_ms, int64_t now)
+{
+	return versions_are_mixed(get_service(fleet, service)->versions,
+				  window_ms, now);
+}
+
+const char *fleet_unrecorded_version(struct fleet *fleet, const char *service,
+				     int64_t window_ms, int64_t now)
+{
+	return versions_unrecorded(get_service(fleet, service)->versions,
+				   window_ms, now);
 }
 
 static void unlist_server(struct fleet *fleet, struct fleet_server *server)
@@ -169,21 +228,6 @@
 	return true;
 }
 
-void fleet_remove_unlisted(struct fleet *fleet, GHashTable *ids)
-{
-	GHashTableIter it;
-	gpointer id;
-	gpointer server;
-
-	g_hash_table_iter_init(&it, fleet->servers);
-	while (g_hash_table_iter_next(&it, &id, &server)) {
-		if (g_hash_table_contains(ids, id))
-			continue;
-		g_hash_table_iter_steal(&it);
-		unlist_server(fleet, server);
-	}
-}
-
 void fleet_set_evacuated(struct fleet *fleet, GHashTable *zones, int64_t now,
 			 int64_t cold_ms)
 {
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -64,6 +64,7 @@
 struct fleet_query {
 	const char *service;
 	const char *zone;	  /**< of this instance */
+	const char *version;	  /**< that the server must have, or NULL */
 	const char *preferred_id; /**< server that has its state, or NULL */
 	uint64_t affinity; /**< equal for requests that share state; or 0 */
 	/** Servers are ranked by this, equally on all instances; or 0. */
@@ -102,8 +103,6 @@
 		  int64_t now);
 /** Removes the server of that id; returns false if there is none. */
 bool fleet_remove(struct fleet *fleet, const char *id);
-/** Removes all servers whose ids are not keys of @p ids. */
-void fleet_remove_unlisted(struct fleet *fleet, GHashTable *ids);
 /**
  * Sets the zones that are out of service, the keys of @p zones. Servers of a
  * zone that returns to service count as cold for @p cold_ms.
@@ -111,6 +110,15 @@
 void fleet_set_evacuated(struct fleet *fleet, GHashTable *zones, int64_t now,
 			 int64_t cold_ms);
 
+/** Records which versions are listed, once a change of the list is complete. */
+void fleet_observe_versions(struct fleet *fleet, int64_t now);
+/** See versions_are_mixed(). */
+bool fleet_has_mixed_versions(struct fleet *fleet, const char *service,
+			      int64_t window_ms, int64_t now);
+/** See versions_unrecorded(). */
+const char *fleet_unrecorded_version(struct fleet *fleet, const char *service,
+				     int64_t window_ms, int64_t now);
+
 /** Returns the number of listed servers. */
 guint fleet_count(const struct fleet *fleet);
 /** Calls @p fn for each listed server. */
--- a/decide/fleet_pick.c
+++ b/decide/fleet_pick.c
@@ -27,6 +27,13 @@
 	return server->listed && !server->draining && !server->evacuated;
 }
 
+static bool has_version(const struct fleet_server *server,
+			const struct fleet_query *query)
+{
+	return query->version == NULL ||
+	       strcmp(server->version, query->version) == 0;
+}
+
 static bool was_tried(const struct fleet_server *server,
 		      const struct fleet_query *query)
 {
@@ -156,7 +163,7 @@
 		      const struct fleet_query *query, int64_t now,
 		      enum fleet_pick_status *why)
 {
-	if (!is_in_service(server))
+	if (!is_in_service(server) || !has_version(server, query))
 		return false;
 	if (was_tried(server, query)) {
 		if (*why == FLEET_NO_SERVER)
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -13,6 +13,7 @@
 	PEER_RETRY_AFTER_MS = 50,   /* another instance may serve it at once */
 	QUOTA_WAIT_MS = 120,	    /* a refusal may end a running program */
 	QUOTA_WAIT_NEW_MS = 40,	    /* a refusal costs only the round trip */
+	VIEW_SKEW_MS = 2000, /* between the server lists of two instances */
 };
 
 const char *exch_account_name(const struct exch *x)
@@ -37,6 +38,8 @@
 	exch_cancel_upstream(x);
 	if (x->waiter != NULL)
 		adm_cancel(x->waiter);
+	if (x->search != NULL)
+		turns_cancel_search(x->search);
 	if (x->turn != NULL)
 		turns_end(x->turn, x->tokens_used);
 	if (x->deadline_timer != NULL)
@@ -56,6 +59,7 @@
 	if (x->turn_output != NULL)
 		g_string_free(x->turn_output, TRUE);
 	splitter_destroy(x->splitter);
+	g_free(x->version);
 	cat_unref(x->catalog);
 	g_free(x);
 }
@@ -120,6 +124,11 @@
 	inbound_abort(request);
 }
 
+int64_t exch_version_window_ms(const struct exch *x)
+{
+	return x->route->timeout_ms + VIEW_SKEW_MS;
+}
+
 void exch_set_timer(struct event *timer, int64_t ms)
 {
 	struct timeval tv = clock_timeval(ms);
@@ -202,7 +211,8 @@
 }
 
 static const struct turns_handler turn_handler = {
-	on_turn_verdict, exch_on_tokens_granted, exch_on_turn_committed};
+	on_turn_verdict, exch_on_tokens_granted, exch_on_turn_committed,
+	exch_on_version_stored};
 
 static void start_turn(struct exch *x)
 {
@@ -221,11 +231,11 @@
 	turns_begin(x->shared->turns, &request, &turn_handler, x, &x->turn);
 }
 
-/* Starts an admitted request: through its turn, or directly to a server. */
-static void start_admitted(struct exch *x)
+/* Starts a request through its turn, or directly to a server. */
+static void start(struct exch *x)
 {
 	if (x->route->kind == CAT_STREAM &&
-	    (x->call.budget > 0 || x->route->retain)) {
+	    (x->call.budget > 0 || x->route->retain || x->route->resumable)) {
 		start_turn(x);
 		return;
 	}
@@ -233,6 +243,53 @@
 	exch_send(x);
 }
 
+static void on_version_found(void *arg, enum turns_found found,
+			     const char *version)
+{
+	struct exch *x = arg;
+
+	x->search = NULL;
+	if (found == TURNS_UNREADABLE) {
+		exch_refuse(x, STATS_REFUSED_STORE, 503, "store away",
+			    store_retry_after_ms(x));
+		return;
+	}
+	if (found == TURNS_NO_RECORD)
+		version = fleet_unrecorded_version(
+			x->shared->fleet, x->service->name,
+			exch_version_window_ms(x), clock_boot_ms());
+	slog("resumes", x->call.id,
+	     "\"attempt\":%s,\"after_event\":%" G_GINT64_FORMAT
+	     ",\"version\":%s,\"recorded\":%s",
+	     slog_quote(x->call.resumes ? x->call.resumes : ""),
+	     x->call.last_event_id, slog_quote(version ? version : ""),
+	     found == TURNS_FOUND ? "true" : "false");
+	if (version == NULL) {
+		exch_refuse(x, STATS_REFUSED_VERSION, 503, "version unknown",
+			    PEER_RETRY_AFTER_MS);
+		return;
+	}
+	x->version = g_strdup(version);
+	start(x);
+}
+
+/* Starts an admitted request. A stream that its caller takes up goes on only at
+ * the version that began it. */
+static void start_admitted(struct exch *x)
+{
+	if (x->route->kind != CAT_STREAM || x->call.last_event_id < 0) {
+		start(x);
+		return;
+	}
+	if (x->call.resumes == NULL) {
+		on_version_found(x, TURNS_NO_RECORD, NULL);
+		return;
+	}
+	x->search = turns_find_version(x->shared->turns, exch_account_name(x),
+				       x->call.program, x->call.resumes,
+				       on_version_found, x);
+}
+
 /* Whether this is the first turn of a program, as far as this instance knows.
  */
 static bool begins_program(const struct exch *x)
--- a/serve/exchange_int.h
+++ b/serve/exchange_int.h
@@ -31,7 +31,10 @@
 	GBytes *body; /* as sent to the backend server */
 
 	struct turns_turn *turn;
-	bool tokens_granted; /* output may be passed to the caller */
+	bool tokens_granted;  /* output may be passed to the caller */
+	char *version;	      /* that began the stream; NULL: none yet */
+	bool storing_version; /* no output is passed to the caller until then */
+	struct turns_search *search; /* for the version of a resumed stream */
 
 	struct retry_state retry;
 	GPtrArray *tried_servers;	/* ids */
@@ -82,6 +85,8 @@
 /** Reports that a request may have run, or truncates a response that has begun;
  * frees @p x. */
 void exch_fail(struct exch *x, const char *cause, int status);
+/** For how long a stream may be taken up after versions have changed, in ms. */
+int64_t exch_version_window_ms(const struct exch *x);
 /** Arms @p timer to fire in @p ms milliseconds. */
 void exch_set_timer(struct event *timer, int64_t ms);
 
@@ -95,6 +100,8 @@
 			 const char *cause);
 /** Turn callback: the turn's tokens may be passed to the caller. */
 void exch_on_tokens_granted(void *arg);
+/** Turn callback: the version that began the stream is stored. */
+void exch_on_version_stored(void *arg);
 /** Turn callback: the turn is committed to the store. */
 void exch_on_turn_committed(void *arg);
 
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -24,10 +24,15 @@
 	PRIORITY_MAX = 9,	    /* the least urgent */
 };
 
-/* Sends the buffered output once the turn's tokens are granted. */
+/* Whether the output may be passed to the caller. */
+static bool is_output_allowed(const struct exch *x)
+{
+	return x->tokens_granted && !x->storing_version;
+}
+
 static void flush_output(struct exch *x)
 {
-	if (!x->tokens_granted || x->headers == NULL)
+	if (!is_output_allowed(x) || x->headers == NULL)
 		return;
 	if (!x->retry.response_started &&
 	    (x->buffered->len > 0 || x->upstream_complete)) {
@@ -59,7 +64,7 @@
 	GByteArray *text;
 	GBytes *bytes;
 
-	if (!x->tokens_granted)
+	if (!is_output_allowed(x))
 		return;
 	flush_output(x);
 	if (!x->route->retain) {
@@ -81,17 +86,31 @@
 	finish_stream(arg);
 }
 
-void exch_on_tokens_granted(void *arg)
+/* Passes on what was held back. */
+static void release_output(struct exch *x)
 {
-	struct exch *x = arg;
-
-	x->tokens_granted = true;
 	if (x->upstream_complete && x->streaming)
 		complete_stream(x);
 	else if (x->streaming)
 		flush_output(x);
 }
 
+void exch_on_tokens_granted(void *arg)
+{
+	struct exch *x = arg;
+
+	x->tokens_granted = true;
+	release_output(x);
+}
+
+void exch_on_version_stored(void *arg)
+{
+	struct exch *x = arg;
+
+	x->storing_version = false;
+	release_output(x);
+}
+
 static void reply_buffered(struct exch *x)
 {
 	struct inbound_request *request = x->request;
@@ -189,12 +208,27 @@
 	}
 }
 
+/* Ties the stream to the version of the server that sent its first event. While
+ * there are others, no caller gets an event before every instance can learn the
+ * version. */
+static void bind_version(struct exch *x)
+{
+	x->version = g_strdup(x->server->version);
+	if (x->route->resumable && x->turn != NULL &&
+	    fleet_has_mixed_versions(x->shared->fleet, x->service->name,
+				     exch_version_window_ms(x),
+				     clock_boot_ms()))
+		x->storing_version = turns_store_version(x->turn, x->version);
+}
+
 static void on_event(void *arg, const struct splitter_event *event)
 {
 	struct exch *x = arg;
 
 	if (event->id >= 0 && event->id <= x->last_event_id)
 		return;
+	if (x->version == NULL)
+		bind_version(x);
 	if (event->id >= 0)
 		x->last_event_id = event->id;
 	if (event->has_data) {
@@ -481,6 +515,7 @@
 	struct fleet_query query = {
 		.service = x->service->name,
 		.zone = x->shared->zone,
+		.version = x->version,
 		.preferred_id = preferred_server(x),
 		.affinity = x->call.shared ^ x->call.affinity,
 		.placement_key = placement_key(x),
--- a/serve/stats.c
+++ b/serve/stats.c
@@ -22,6 +22,7 @@
 	[STATS_REFUSED_NO_TURN] = "refused_total{cause=\"no such turn\"}",
 	[STATS_REFUSED_STORE] = "refused_total{cause=\"store\"}",
 	[STATS_REFUSED_FULL] = "refused_total{cause=\"servers full\"}",
+	[STATS_REFUSED_VERSION] = "refused_total{cause=\"version unknown\"}",
 	[STATS_REFUSED_MARKED] = "refused_total{cause=\"marked\"}",
 	[STATS_SENT] = "sent_total",
 	[STATS_SENT_AGAIN] = "sent_again_total",
--- a/serve/turns.c
+++ b/serve/turns.c
@@ -22,10 +22,7 @@
 
 static void program_flush(struct program *program);
 
-/* Hashes a name to a row key: fixed length, nothing to escape, and equal names
- * of two accounts have different keys. */
-static void make_key(char *out, char kind, const char *account,
-		     const char *name)
+void turns_make_key(char *out, char kind, const char *account, const char *name)
 {
 	unsigned char hash[HASH_BYTES];
 	char *text = g_strdup_printf("%c%s\n%s", kind, account, name);
@@ -36,14 +33,12 @@
 	g_free(text);
 }
 
-/* The key of a program begins with digits of its account, which name the parts
- * that hold all turns of the account. */
-static void make_program_key(char *out, const char *account, const char *name)
+void turns_program_key(char *out, const char *account, const char *name)
 {
 	char account_key[KEY_LEN];
 
-	make_key(account_key, 'a', account, "");
-	make_key(out, 'p', account, name);
+	turns_make_key(account_key, 'a', account, "");
+	turns_make_key(out, 'p', account, name);
 	memcpy(out, account_key, ACCOUNT_DIGITS);
 }
 
@@ -304,6 +299,19 @@
 		MIN(program->retry_delay_ms * 2, RETRY_MAX_MS);
 }
 
+/* Returns whether the handler was called, which may end the turn; the text of a
+ * turn is written only after that. */
+static bool update_version(struct turns_turn *turn, enum store_status result)
+{
+	turn->writing_version = false;
+	turn->version_stored = result == STORE_OK;
+	if (turn->version_reported || result == STORE_CONFLICT)
+		return false;
+	turn->version_reported = true;
+	turn->handler->version_stored(turn->arg);
+	return true;
+}
+
 /* Updates the turns of a transaction that has ended. */
 static void update_turns(struct program *program,
 			 const struct store_response *reply)
@@ -316,6 +324,9 @@
 			turn->pieces_committed = turn->pieces_sent;
 		else
 			turn->pieces_sent = turn->pieces_committed;
+		if (turn->writing_version &&
+		    update_version(turn, reply->result))
+			continue;
 		if (!turn->writing)
 			continue;
 		turn->writing = false;
@@ -389,16 +400,17 @@
 	struct store_tx *tx;
 	struct turns_turn *turn;
 	bool urgent;
-	bool has_text = false;
+	bool has_rows = false;
 	uint64_t cap;
 
 	if (program->write_call != NULL ||
 	    evtimer_pending(program->retry_timer, NULL))
 		return;
 	cds_list_for_each_entry(turn, &program->active_turns, node)
-		has_text |= turn->text != NULL;
+		has_rows |=
+			turn->text != NULL || turns_has_version_to_store(turn);
 	cap = wanted_cap(program, &urgent);
-	if (!has_text && (!urgent || cap <= program->budget.cap))
+	if (!has_rows && (!urgent || cap <= program->budget.cap))
 		return;
 	tx = turns_build_tx(program, cap);
 	program->write_started_ms = clock_boot_ms();
@@ -498,15 +510,15 @@
 	char key[KEY_LEN];
 
 	/* A turn without a program forms a program by itself. */
-	make_program_key(key, request->account,
-			 request->program ? request->program : request->id);
+	turns_program_key(key, request->account,
+			  request->program ? request->program : request->id);
 	turn->program = get_program(turns, key);
 	turn->program->retry_delay_ms = RETRY_MIN_MS;
 	turn->program->last_used_ms = clock_boot_ms();
-	make_key(turn->key, 't', request->account, request->id);
+	turns_make_key(turn->key, 't', request->account, request->id);
 	if (request->retain && request->previous != NULL)
-		make_key(turn->previous, 't', request->account,
-			 request->previous);
+		turns_make_key(turn->previous, 't', request->account,
+			       request->previous);
 	turn->budget = request->budget;
 	turn->max_tokens = request->max_tokens;
 	turn->retention_ms = request->retention_ms;
@@ -558,6 +570,15 @@
 	program_flush(turn->program);
 }
 
+bool turns_store_version(struct turns_turn *turn, const char *version)
+{
+	if (!store_is_healthy(turn->program->turns->store, turn->program->part))
+		return false;
+	turn->version = g_strdup(version);
+	program_flush(turn->program);
+	return true;
+}
+
 void turns_end(struct turns_turn *turn, uint64_t used)
 {
 	settle_budget(turn, used);
@@ -568,5 +589,6 @@
 	g_byte_array_unref(turn->history);
 	if (turn->text != NULL)
 		g_bytes_unref(turn->text);
+	g_free(turn->version);
 	g_free(turn);
 }
--- a/serve/turns.h
+++ b/serve/turns.h
@@ -48,8 +48,24 @@
 	void (*granted)(void *arg);
 	/** It is committed to the store. */
 	void (*committed)(void *arg);
+	/** Its version is stored, or can't be for now. */
+	void (*version_stored)(void *arg);
 };
 
+/** Result of a search for the version that began a stream. */
+enum turns_found {
+	TURNS_FOUND,
+	TURNS_NO_RECORD,  /**< none was stored */
+	TURNS_UNREADABLE, /**< the store can't be read */
+};
+
+/** A search in progress. */
+struct turns_search;
+/** Receives the result of a search, which is freed when this returns;
+ * @p version is NULL unless it was found. */
+typedef void turns_found_fn(void *arg, enum turns_found found,
+			    const char *version);
+
 /** @param incarnation identifies this run of the instance in budget rows */
 struct turns *turns_create(struct event_base *base, struct store *store,
 			   uint64_t incarnation, uint64_t cache_bytes);
@@ -61,6 +77,24 @@
 		 struct turns_turn **slot);
 /** Commits a turn that used @p used tokens; @p text is its input and output. */
 void turns_commit(struct turns_turn *turn, GBytes *text, uint64_t used);
+/**
+ * Stores the software version that began the turn's stream, so that any
+ * instance can go on with it.
+ *
+ * @return false if the store is unreachable; the handler is not called then
+ */
+bool turns_store_version(struct turns_turn *turn, const char *version);
+/**
+ * Searches for the version that began a stream.
+ *
+ * @param program of the stream, or NULL
+ * @param id      of the request that brought the stream's first event
+ */
+struct turns_search *turns_find_version(struct turns *turns,
+					const char *account,
+					const char *program, const char *id,
+					turns_found_fn *found, void *arg);
+void turns_cancel_search(struct turns_search *search);
 /** Ends and frees a turn that has used @p used tokens. */
 void turns_end(struct turns_turn *turn, uint64_t used);
 /** Programs in memory, and bytes of cached history. */
--- a/serve/turns_int.h
+++ b/serve/turns_int.h
@@ -3,7 +3,7 @@
  * @brief Internal interface between the turns*.c files and the sweeper.
  *
  * turns.c decides about turns, turns_write.c builds the transactions that store
- * them and turns_load.c reads history.
+ * them, turns_load.c reads history and turns_version.c the versions of streams.
  */
 #ifndef APS_TURNS_INT_H
 #define APS_TURNS_INT_H
@@ -31,6 +31,10 @@
 	HASH_BYTES = 16,
 	KEY_LEN = 2 * HASH_BYTES + 1,
 	HEAD_KEY_LEN = 2 * (KEY_LEN - 1) + 1, /**< "PROGRAM/TURN" */
+	/** "PROGRAM/vTURN", the turn abbreviated: shorter than any other row
+	 * of a turn, so it is never taken for one. */
+	VERSION_TURN_DIGITS = 24,
+	VERSION_KEY_LEN = KEY_LEN - 1 + 2 + VERSION_TURN_DIGITS + 1,
 	/** Minimum lifetime of a program's rows, also on routes that retain
 	 * nothing: a program without history may still send another turn. */
 	RETENTION_MIN_MS = 600000,
@@ -124,8 +128,25 @@
 	uint32_t pieces_sent;	   /* those and rows being written */
 	bool writing;		   /* in the current transaction */
 	bool committed;
+	char *version; /* that began the stream; NULL: not to be stored */
+	bool writing_version; /* in the current transaction */
+	bool version_stored;
+	bool version_reported; /* to the handler */
 };
 
+/** Hashes a name to a row key of KEY_LEN bytes: fixed length, nothing to
+ * escape, and equal names of two accounts have different keys. */
+void turns_make_key(char *out, char kind, const char *account,
+		    const char *name);
+/** The key of a program begins with digits of its account, which name the parts
+ * that hold all turns of the account. */
+void turns_program_key(char *out, const char *account, const char *name);
+/** The key of the row with the version of a stream, from the keys of its
+ * program and its turn: VERSION_KEY_LEN bytes. */
+void turns_version_key(char *out, const char *program_key,
+		       const char *turn_key);
+/** Whether the turn has a version that is not stored yet. */
+bool turns_has_version_to_store(const struct turns_turn *turn);
 /** The part that holds the rows of a program: PART_LEN bytes. */
 void turns_program_part(const char *key, char *part);
 /** Part number @p i, below ACCOUNT_PARTS, of the account of a program. */
--- a/serve/turns_write.c
+++ b/serve/turns_write.c
@@ -71,6 +71,18 @@
 	(*rows_left)--;
 }
 
+static void put_version(struct store_tx *tx, struct turns_turn *turn,
+			uint32_t *rows_left)
+{
+	char key[VERSION_KEY_LEN];
+
+	turns_version_key(key, turn->program->key, turn->key);
+	store_tx_put(tx, PROGRAMS_TABLE, key, turn->version,
+		     strlen(turn->version));
+	turn->writing_version = true;
+	(*rows_left)--;
+}
+
 static void put_budget(struct store_tx *tx, struct program *program)
 {
 	Rows__Program row = ROWS__PROGRAM__INIT;
@@ -135,6 +147,8 @@
 	struct turns_turn *turn;
 
 	cds_list_for_each_entry(turn, &program->active_turns, node) {
+		if (turns_has_version_to_store(turn) && rows_left > 0)
+			put_version(tx, turn, &rows_left);
 		if (turn->text != NULL && rows_left > 0)
 			put_turn(tx, turn, &rows_left);
 	}
--- a/serve/watcher.c
+++ b/serve/watcher.c
@@ -111,6 +111,9 @@
 		} else {
 			watch->version = MAX(watch->version, reply->version);
 		}
+		if (watch == &watch->watcher->servers && watch->following)
+			fleet_observe_versions(watch->watcher->fleet,
+					       clock_boot_ms());
 		if (watch == &watch->watcher->config && watch->following)
 			watch->watcher->confirmed_ms = reply->sent_ms;
 	}
@@ -247,14 +250,11 @@
 	event_add(watcher->removal_timer, &tv);
 }
 
-static void on_removal_timer(evutil_socket_t fd, short what, void *arg)
+static void remove_missing(struct watcher *watcher)
 {
-	struct watcher *watcher = arg;
 	GHashTableIter it;
 	gpointer id;
 
-	(void)fd;
-	(void)what;
 	g_hash_table_iter_init(&it, watcher->missing_servers);
 	while (g_hash_table_iter_next(&it, &id, NULL)) {
 		slog("server", NULL, "\"server\":%s,\"state\":\"gone\"",
@@ -264,6 +264,16 @@
 	g_hash_table_remove_all(watcher->missing_servers);
 }
 
+static void on_removal_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct watcher *watcher = arg;
+
+	(void)fd;
+	(void)what;
+	remove_missing(watcher);
+	fleet_observe_versions(watcher->fleet, clock_boot_ms());
+}
+
 static void remove_server(struct watcher *watcher, const char *id)
 {
 	int64_t delay_ms = removal_delay_ms(watcher);
@@ -272,7 +282,7 @@
 	if (delay_ms > 0)
 		schedule_removal(watcher, delay_ms);
 	else
-		on_removal_timer(-1, 0, watcher);
+		remove_missing(watcher);
 }
 
 static void apply_server_row(struct watcher *watcher,
@@ -329,7 +339,7 @@
 	if (delay_ms > 0)
 		schedule_removal(watcher, delay_ms);
 	else
-		on_removal_timer(-1, 0, watcher);
+		remove_missing(watcher);
 }
 
 static void watch_start(struct table_watch *watch, struct watcher *watcher,
--- a/test/unit/test_stream_version.c
+++ b/test/unit/test_stream_version.c
@@ -67,7 +67,8 @@
 /* Returns the last run of a request, which has to exist. */
 static const struct backend_run *last_run(const char *id)
 {
-	for (int i = 0; i < 2; i++) {
+	/* Streams begin at the first engine. */
+	for (int i = 1; i >= 0; i--) {
 		const GPtrArray *runs = backend_runs(fx.engines[i]);
 
 		for (guint n = runs->len; n > 0; n--) {
