--- a/serve/exchange_int.h
+++ b/serve/exchange_int.h
@@ -1,9 +1,10 @@
 /**
  * @file exchange_int.h
- * @brief Internal interface between exchange.c and exchange_send.c.
+ * @brief Internal interface between the exchange*.c files.
  *
- * exchange.c authenticates and admits a request and ends it; exchange_send.c
- * selects a backend server for it and relays the response.
+ * exchange.c authenticates and admits a request and ends it, exchange_pick.c
+ * selects a backend server for it, and exchange_send.c sends it there and
+ * relays the response.
  */
 #ifndef APS_EXCHANGE_INT_H
 #define APS_EXCHANGE_INT_H
@@ -90,6 +91,10 @@
 /** Arms @p timer to fire in @p ms milliseconds. */
 void exch_set_timer(struct event *timer, int64_t ms);
 
+/** Returns a server that may get the request now, or NULL; @p why: the reason.
+ */
+struct fleet_server *exch_pick(struct exch *x, int64_t now_ms,
+			       enum fleet_pick_status *why);
 /** Selects a backend server and sends the request; otherwise retries later or
  * answers with an error. */
 void exch_send(struct exch *x);
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -1,11 +1,10 @@
 /**
  * @file exchange_send.c
- * @brief Selects a backend server for a request and relays its response.
+ * @brief Sends a request to a backend server and relays its response.
  */
 #include <string.h>
 
 #include "clock.h"
-#include "decide/rng.h"
 #include "exchange_int.h"
 #include "platform/wire.h"
 #include "slog.h"
@@ -16,12 +15,7 @@
 	EVENT_MAX_BYTES = 1048576,     /* of one event of a stream */
 	UNUSABLE_MAX_BYTES = 65536,    /* read of a response that is not used */
 	SELECT_RETRY_MS = 8,	       /* while no server has a free slot */
-	/* Costs weighed when a server is selected. */
-	TURN_COST_MS = 1,	/* slowdown by another running turn */
-	CALL_COST_MS = 10,	/* a call that waits for another one */
-	CROSS_ZONE_COST_MS = 4, /* round trip and transfer to another zone */
-	AFFINITY_MISS_COST_MS = 12, /* the session's history is read again */
-	PRIORITY_MAX = 9,	    /* the least urgent */
+	PRIORITY_MAX = 9,	       /* the least urgent */
 };
 
 /* Whether the output may be passed to the caller. */
@@ -463,80 +457,6 @@
 	arm_silence_timer(x);
 }
 
-/* The server that ran the last turn of the session, or else of the program. */
-static const char *preferred_server(const struct exch *x)
-{
-	const struct exch_session *session = NULL;
-
-	if (!x->service->engine)
-		return NULL;
-	if (x->call.session != NULL)
-		session = g_hash_table_lookup(x->shared->sessions,
-					      x->call.session);
-	if (session == NULL && x->call.program != NULL)
-		session = g_hash_table_lookup(x->shared->sessions,
-					      x->call.program);
-	return session ? session->server : NULL;
-}
-
-/* Expected events of the stream: a turn usually generates half of its maximum.
- */
-static double expected_events(const struct exch *x)
-{
-	return (double)x->call.max_tokens / MAX(x->service->stride, 1) / 2;
-}
-
-/* What the servers for this request are ranked by, equally on all instances:
- * its program, the object that it concerns, or else the request itself. */
-static uint64_t placement_key(const struct exch *x)
-{
-	if (x->service->engine && x->call.program != NULL)
-		return rng_hash(x->call.program);
-	return x->call.affinity != 0 ? x->call.affinity : rng_hash(x->call.id);
-}
-
-/* Extra time at a server that has not served the same program or object. */
-static double affinity_miss_ms(const struct exch *x)
-{
-	return x->service->engine || x->call.affinity != 0
-		       ? AFFINITY_MISS_COST_MS
-		       : 0;
-}
-
-static uint32_t cold_share(void *arg, const char *server, uint32_t units)
-{
-	return members_share_of(arg, server, units);
-}
-
-/* Returns a server that may get the request now, or NULL. */
-static struct fleet_server *pick_server(struct exch *x, int64_t now_ms,
-					enum fleet_pick_status *why)
-{
-	struct fleet_query query = {
-		.service = x->service->name,
-		.zone = x->shared->zone,
-		.version = x->version,
-		.preferred_id = preferred_server(x),
-		.affinity = x->call.shared ^ x->call.affinity,
-		.placement_key = placement_key(x),
-		.affinity_miss_ms = affinity_miss_ms(x),
-		.cross_zone_ms = CROSS_ZONE_COST_MS,
-		.request_cost_ms =
-			x->service->engine ? TURN_COST_MS : CALL_COST_MS,
-		.events = x->service->engine && preferred_server(x) == NULL
-				  ? expected_events(x)
-				  : 0,
-		.cold_per_s = x->service->cold_per_s,
-		.cold_share = cold_share,
-		.cold_share_arg = x->shared->members,
-		.max_conns = x->service->max_conns,
-		.instances = members_count(x->shared->members),
-		.tried = x->tried_servers,
-	};
-
-	return fleet_pick(x->shared->fleet, &query, now_ms, why);
-}
-
 /* All servers have been tried: those that refused may be tried again, and the
  * others too if there is nobody else. */
 static void forget_tried(struct exch *x, int64_t now_ms)
@@ -550,7 +470,7 @@
 		g_ptr_array_add(
 			x->tried_servers,
 			g_strdup(g_ptr_array_index(x->interrupted_servers, i)));
-	if (pick_server(x, now_ms, &why) == NULL && why == FLEET_ALL_TRIED)
+	if (exch_pick(x, now_ms, &why) == NULL && why == FLEET_ALL_TRIED)
 		g_ptr_array_set_size(x->tried_servers, 0);
 }
 
@@ -562,7 +482,7 @@
 	bool found;
 
 	g_ptr_array_add(x->tried_servers, g_strdup(x->server->id));
-	found = pick_server(x, clock_boot_ms(), &why) != NULL;
+	found = exch_pick(x, clock_boot_ms(), &why) != NULL;
 	g_ptr_array_set_size(x->tried_servers, (gint)tried);
 	return found;
 }
@@ -612,7 +532,7 @@
 {
 	int64_t now_ms = clock_boot_ms();
 	enum fleet_pick_status why;
-	struct fleet_server *server = pick_server(x, now_ms, &why);
+	struct fleet_server *server = exch_pick(x, now_ms, &why);
 
 	if (server != NULL)
 		send_to_server(x, server, now_ms);
