Do not close a connection whose last response is still being written

Callers saw: a response cut off without its end, when an instance stopped or when a caller read a long response for longer than the idle timeout.

Cause: the end of a response makes its connection idle at once, while bytes of it wait in the output buffer. The stop (inbound_close_idle) and the check of the idle timeout freed such a connection with its buffer. A response that ends after the stop has begun was safe: it closes its connection and is flushed.

Fix: both spare a connection with unwritten output; the idle time starts when it is written. A caller that reads nothing is closed after the time for a last response (30 s) or the idle timeout, whichever is longer; at a stop the grace period ends it. The 30 s have no test.

Ruled out: the flush and lingering states, which wait for the output already.

--- a/serve/inbound.c
+++ b/serve/inbound.c
@@ -198,12 +198,21 @@
 	.on_message_complete = on_message_complete,
 };
 
+static bool output_is_pending(const struct inbound_conn *conn)
+{
+	return evbuffer_get_length(bufferevent_get_output(conn->bev)) > 0;
+}
+
 static void on_flushed(struct bufferevent *bev, void *arg)
 {
 	struct inbound_conn *conn = arg;
 
-	if (conn->state != CONN_FLUSH ||
-	    evbuffer_get_length(bufferevent_get_output(bev)) > 0)
+	if (output_is_pending(conn))
+		return;
+	/* The caller can't send its next request before it has the response. */
+	if (conn->state == CONN_IDLE)
+		conn->state_since_ms = clock_boot_ms();
+	if (conn->state != CONN_FLUSH)
 		return;
 	(void)shutdown(bufferevent_getfd(bev), SHUT_WR);
 	set_state(conn, CONN_LINGER);
@@ -374,8 +383,12 @@
  * its caller may count on the one from before. */
 static int64_t idle_timeout_ms(const struct inbound_conn *conn)
 {
-	return MAX(conn->idle_timeout_ms,
-		   conn->inbound->limits.idle_timeout_ms);
+	int64_t ms = MAX(conn->idle_timeout_ms,
+			 conn->inbound->limits.idle_timeout_ms);
+
+	/* The response has ended for the handler, but is still being written.
+	 */
+	return output_is_pending(conn) ? MAX(ms, INBOUND_BODY_TIMEOUT_MS) : ms;
 }
 
 static void sweep_conn(struct inbound_conn *conn, int64_t now_ms)
@@ -502,7 +515,8 @@
 	struct inbound_conn *next;
 
 	cds_list_for_each_entry_safe(conn, next, &inbound->conns, node) {
-		if (conn->state == CONN_IDLE && !input_is_pending(conn->bev))
+		if (conn->state == CONN_IDLE && !output_is_pending(conn) &&
+		    !input_is_pending(conn->bev))
 			conn_free(conn);
 	}
 }
--- a/serve/inbound.h
+++ b/serve/inbound.h
@@ -63,7 +63,8 @@
 void inbound_drain(struct inbound *inbound);
 /** Stops accepting connections. */
 void inbound_stop_listening(struct inbound *inbound);
-/** Closes connections without a request, not even a partial one. */
+/** Closes connections without a request, not even a partial one, whose last
+ * response has been written. */
 void inbound_close_idle(struct inbound *inbound);
 /** Returns the number of open connections and of unanswered requests. */
 void inbound_count(const struct inbound *inbound, guint *conns,
--- a/test/unit/test_inbound.c
+++ b/test/unit/test_inbound.c
@@ -23,6 +23,11 @@
 	BUSY_MS = 500,
 	BODY_BYTES_MAX = 1000,
 	HEADER_BYTES_MAX = 2000,
+	/* More than the sockets of both ends hold. */
+	LONG_BODY_BYTES = 8 << 20,
+	LONG_IDLE_TIMEOUT_MS = 600,
+	SWEEP_EXTRA_MS = 300, /* more than the period of the check */
+	READ_TIMEOUT_MS = 5000,
 };
 
 struct fixture {
@@ -34,10 +39,24 @@
 
 static struct fixture fx;
 
+static void send_long_response(struct inbound_request *request)
+{
+	char *data = g_strnfill(LONG_BODY_BYTES, 'x');
+
+	inbound_begin_reply(request, 200, "");
+	inbound_send_chunk(request, data, LONG_BODY_BYTES);
+	inbound_end_reply(request);
+	g_free(data);
+}
+
 static void on_request(void *arg, struct inbound_request *request)
 {
 	(void)arg;
 	fx.requests++;
+	if (strcmp(request->target, "/long") == 0) {
+		send_long_response(request);
+		return;
+	}
 	if (request->body->len > 0)
 		memcpy(fx.body, request->body->data, request->body->len);
 	fx.body[request->body->len] = '\0';
@@ -370,6 +389,77 @@
 	close(fd);
 }
 
+#define LONG_REQUEST "GET /long HTTP/1.1\r\nHost: h\r\n\r\n"
+#define LAST_CHUNK "\r\n0\r\n\r\n"
+
+/* Opens a connection, and runs the loop until its long response has ended for
+ * the handler. The caller has read nothing yet. */
+static int request_long_response(void)
+{
+	int fd = open_connection();
+
+	send_text(fd, LONG_REQUEST);
+	for (int ms = 0; ms < READ_TIMEOUT_MS && fx.requests == 0; ms += 2)
+		run_loop(2);
+	assert_int_equal(fx.requests, 1);
+	return fd;
+}
+
+/* Checks that the caller receives a long response to its end. */
+static void assert_long_response(int fd)
+{
+	GString *response = g_string_new(NULL);
+	int64_t until_ms = clock_boot_ms() + READ_TIMEOUT_MS;
+	static char buf[65536];
+	ssize_t n = -1;
+
+	while (n != 0 && clock_boot_ms() < until_ms &&
+	       !g_str_has_suffix(response->str, LAST_CHUNK)) {
+		run_loop(1);
+		while ((n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT)) > 0)
+			g_string_append_len(response, buf, n);
+	}
+	if (!g_str_has_suffix(response->str, LAST_CHUNK))
+		print_error("%zu bytes, then %s\n", response->len,
+			    n == 0 ? "closed" : "silence");
+	assert_true(response->len > LONG_BODY_BYTES);
+	assert_true(g_str_has_suffix(response->str, LAST_CHUNK));
+	g_string_free(response, TRUE);
+}
+
+/* Guards against a response that is cut off at a stop, because its connection
+ * waits for the next request while it is still being written. */
+static void test_close_idle_spares_unwritten_response(void **state)
+{
+	int fd = request_long_response();
+	guint conns;
+	guint requests;
+
+	(void)state;
+	inbound_close_idle(fx.inbound);
+	assert_long_response(fd);
+	inbound_close_idle(fx.inbound);
+	inbound_count(fx.inbound, &conns, &requests);
+	assert_int_equal(conns, 0);
+	close(fd);
+}
+
+/* The same with the idle timeout, which starts when the response is written. */
+static void test_idle_timeout_spares_unwritten_response(void **state)
+{
+	int fd;
+
+	(void)state;
+	set_idle_timeout(LONG_IDLE_TIMEOUT_MS);
+	fd = request_long_response();
+	run_loop(LONG_IDLE_TIMEOUT_MS + SWEEP_EXTRA_MS);
+	assert_long_response(fd);
+	run_loop(SWEEP_EXTRA_MS);
+	send_text(fd, REQUEST);
+	assert_served(fd);
+	close(fd);
+}
+
 #define FIXTURE_TEST(test)                                                     \
 	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
 
@@ -385,6 +475,8 @@
 		FIXTURE_TEST(test_header_received_at_timeout),
 		FIXTURE_TEST(test_lowered_idle_timeout),
 		FIXTURE_TEST(test_raised_idle_timeout),
+		FIXTURE_TEST(test_close_idle_spares_unwritten_response),
+		FIXTURE_TEST(test_idle_timeout_spares_unwritten_response),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
