Look at a pooled connection before a request goes out on it

Callers saw: 502 for a request that may run once at most and that no server had read. For a store call, bytes that nobody asked for were taken as its reply.

Cause: a connection was taken from its pool by what the event loop had seen of it. The end of the connection, or bytes on it, may have come since: the loop reads the sockets once a turn and runs their callbacks after those of timers and of other connections. The request was written to a closed connection and counted as sent.

Fix: a connection is used only if its buffer is empty and a look at its socket says that there is nothing to read; otherwise it is freed and the next one is tried. One recv() for each request on a pooled connection. What arrives after the look can't be seen; that window is the network's.

--- a/serve/input.h
+++ b/serve/input.h
@@ -15,5 +15,8 @@
 
 /** Whether bytes wait in the buffer or in the socket of a connection. */
 bool input_is_pending(struct bufferevent *bev);
+/** Whether a connection is open, as far as is known, and nothing waits on it.
+ */
+bool input_is_quiet(struct bufferevent *bev);
 
 #endif
--- a/serve/upstream.c
+++ b/serve/upstream.c
@@ -381,6 +381,25 @@
 	return conn;
 }
 
+/*
+ * Takes a connection from a pool, or returns NULL. One that its peer has closed
+ * or sent anything on is freed: the event loop may not have run its callbacks.
+ */
+static struct conn *take_idle(GQueue *idle)
+{
+	struct conn *conn;
+
+	while ((conn = g_queue_pop_tail(idle)) != NULL) {
+		conn->pooled = false;
+		if (input_is_quiet(conn->bev)) {
+			event_del(conn->timer);
+			return conn;
+		}
+		conn_free(conn);
+	}
+	return NULL;
+}
+
 static void conn_open(struct conn *conn, const struct upstream_request *request)
 {
 	struct sockaddr_storage addr;
@@ -403,7 +422,7 @@
 				    void *arg)
 {
 	struct upstream_call *call = g_new0(struct upstream_call, 1);
-	struct conn *conn = g_queue_pop_tail(request->idle);
+	struct conn *conn = take_idle(request->idle);
 
 	call->head = request->head;
 	call->body = request->body ? g_bytes_ref(request->body) : NULL;
@@ -412,8 +431,6 @@
 	call->handler = handler;
 	call->arg = arg;
 	if (conn != NULL) {
-		conn->pooled = false;
-		event_del(conn->timer);
 		conn->call = call;
 		call->conn = conn;
 		send_request(conn);
--- a/test/unit/test_busy_loop.c
+++ b/test/unit/test_busy_loop.c
@@ -25,26 +25,39 @@
 
 enum {
 	PEER_PORT = 18406,
+	CALLERS_PORT = 18410, /* of the first instance */
 	ACCEPT_MS = 1000,
+	RESULT_MS = 1000,
 	ORDER_TIMEOUT_MS = 1000, /* of the route order */
 	STREAM_SILENCE_MS = 600, /* three times the objective of the route */
 	STORE_TIMEOUT_MS = 1500, /* the longest timeout of a store call */
 	BUSY_EXTRA_MS = 100,
 };
 
+static int peer_listener = -1; /* a failed test leaves it open */
+
+static void stop_listening(void)
+{
+	if (peer_listener >= 0)
+		close(peer_listener);
+	peer_listener = -1;
+}
+
 static int listen_as_peer(void)
 {
 	struct sockaddr_in addr = {.sin_family = AF_INET,
 				   .sin_port = htons(PEER_PORT),
 				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
 	int one = 1;
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 
-	assert_true(fd >= 0);
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	assert_int_equal(bind(fd, (struct sockaddr *)&addr, sizeof(addr)), 0);
-	assert_int_equal(listen(fd, 8), 0);
-	return fd;
+	stop_listening();
+	peer_listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	assert_true(peer_listener >= 0);
+	setsockopt(peer_listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	assert_int_equal(
+		bind(peer_listener, (struct sockaddr *)&addr, sizeof(addr)), 0);
+	assert_int_equal(listen(peer_listener, 8), 0);
+	return peer_listener;
 }
 
 /* Runs the loop until the peer has a connection with a request. */
@@ -100,7 +113,7 @@
 			  ORDER_TIMEOUT_MS + BUSY_EXTRA_MS);
 	fixture_run_until(&response.done, RESPONSE_TIMEOUT_MS);
 	close(fd);
-	close(listener);
+	stop_listening();
 	assert_int_equal(response.status, 200);
 	assert_string_equal(response.body->str, "ok");
 	fixture_response_clear(&response);
@@ -128,7 +141,7 @@
 			  STREAM_SILENCE_MS + BUSY_EXTRA_MS);
 	fixture_run_until(&response.done, RESPONSE_TIMEOUT_MS);
 	close(fd);
-	close(listener);
+	stop_listening();
 	assert_int_equal(response.status, 200);
 	assert_int_equal(response.end, UPSTREAM_COMPLETE);
 	assert_string_equal(response.body->str, "id: 1\ndata: a\n\n");
@@ -161,17 +174,187 @@
 			  STORE_TIMEOUT_MS + BUSY_EXTRA_MS);
 	fixture_run_until(NULL, 50);
 	close(fd);
-	close(listener);
+	stop_listening();
 	store_destroy(store);
 	assert_int_equal(result, STORE_OK);
 }
 
+struct store_result {
+	int result;
+	int64_t version;
+};
+
+static void on_store_result(void *arg, const struct store_response *reply)
+{
+	struct store_result *result = arg;
+
+	result->result = (int)reply->result;
+	result->version = reply->version;
+}
+
+static void send_store_reply(int fd, int version)
+{
+	char *body = g_strdup_printf("{\"rows\":[],\"has_more\":false,"
+				     "\"ver\":%d,\"now_ms\":1}",
+				     version);
+	char *reply = g_strdup_printf("HTTP/1.1 200 OK\r\n"
+				      "Content-Type: application/json\r\n"
+				      "Content-Length: %zu\r\n\r\n%s",
+				      strlen(body), body);
+
+	assert_int_equal(send(fd, reply, strlen(reply), MSG_NOSIGNAL),
+			 strlen(reply));
+	g_free(reply);
+	g_free(body);
+}
+
+static void run_until_result(const struct store_result *result)
+{
+	for (int ms = 0; ms < RESULT_MS && result->result < 0; ms += 2)
+		fixture_run_until(NULL, 2);
+}
+
+/* Guards against taking bytes that no request asked for as the reply to the
+ * next one, since the loop has not seen them yet. */
+static void test_stale_bytes_on_pooled_connection(void **state)
+{
+	int listener = listen_as_peer();
+	struct store *store = store_create(fx.base, fx.upstream, PEER_ADDRESS);
+	struct store_result first = {.result = -1};
+	struct store_result second = {.result = -1};
+	int fds[2];
+
+	(void)state;
+	store_read(store, "t", "p", NULL, NULL, on_store_result, &first);
+	fds[0] = accept_request(listener);
+	send_store_reply(fds[0], 1);
+	run_until_result(&first);
+	assert_int_equal(first.result, STORE_OK);
+	send_store_reply(fds[0], 2);
+	store_read(store, "t", "p", NULL, NULL, on_store_result, &second);
+	fixture_run_until(NULL, 20);
+	assert_int_equal(second.result, -1);
+	fds[1] = accept_request(listener);
+	send_store_reply(fds[1], 3);
+	run_until_result(&second);
+	close(fds[0]);
+	close(fds[1]);
+	stop_listening();
+	store_destroy(store);
+	assert_int_equal(second.result, STORE_OK);
+	assert_int_equal(second.version, 3);
+}
+
+/* Opens a connection to the first instance. */
+static int connect_as_caller(void)
+{
+	struct sockaddr_in addr = {.sin_family = AF_INET,
+				   .sin_port = htons(CALLERS_PORT),
+				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	assert_true(fd >= 0);
+	assert_int_equal(connect(fd, (struct sockaddr *)&addr, sizeof(addr)),
+			 0);
+	return fd;
+}
+
+static void send_order(int fd, const char *id)
+{
+	char *request = g_strdup_printf("POST /order/1 HTTP/1.1\r\nHost: h\r\n"
+					"Deadline-Ms: 2000\r\n" AUTH_HEADER
+					"Request-Id: %s\r\n"
+					"Content-Length: 1\r\n\r\nx",
+					id);
+
+	assert_int_equal(send(fd, request, strlen(request), MSG_NOSIGNAL),
+			 strlen(request));
+	g_free(request);
+}
+
+static void send_order_answer(int fd, const char *id)
+{
+	char *answer = g_strdup_printf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
+				       "Response-Signature: sig\r\n"
+				       "Content-Length: 2\r\n\r\nok",
+				       id);
+
+	assert_int_equal(send(fd, answer, strlen(answer), MSG_NOSIGNAL),
+			 strlen(answer));
+	g_free(answer);
+}
+
+/* Runs the loop until the caller has received a response with this start. */
+static void assert_received(int fd, const char *start)
+{
+	char response[4096] = "";
+	ssize_t n = -1;
+
+	for (int ms = 0; ms < RESULT_MS && n <= 0; ms += 2) {
+		fixture_run_until(NULL, 2);
+		n = recv(fd, response, sizeof(response) - 1, MSG_DONTWAIT);
+	}
+	if (!g_str_has_prefix(response, start))
+		print_error("received: %s\n", response);
+	assert_true(g_str_has_prefix(response, start));
+}
+
+/* Runs the loop; the caller must not receive anything. */
+static void assert_nothing_received(int fd)
+{
+	char response[4096] = "";
+
+	fixture_run_until(NULL, 20);
+	(void)recv(fd, response, sizeof(response) - 1, MSG_DONTWAIT);
+	if (response[0] != '\0')
+		print_error("received: %s\n", response);
+	assert_string_equal(response, "");
+}
+
+static void on_close_timer(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	close(*(int *)arg);
+}
+
+/* Guards against 502 for a request that may run once at most and that went out
+ * on a connection which its server had closed. */
+static void test_closed_pooled_connection(void **state)
+{
+	struct timeval tv = {.tv_usec = 1000};
+	int listener = listen_as_peer();
+	int caller;
+	int fds[2];
+
+	(void)state;
+	put_peer("shop", "s1");
+	caller = connect_as_caller();
+	send_order(caller, "r1");
+	fds[0] = accept_request(listener);
+	send_order_answer(fds[0], "r1");
+	assert_received(caller, "HTTP/1.1 200 ");
+	/* The request is read and the connection closed in the same turn. */
+	event_base_once(fx.base, -1, EV_TIMEOUT, on_close_timer, &fds[0], &tv);
+	send_order(caller, "r2");
+	usleep(10 * 1000);
+	assert_nothing_received(caller);
+	fds[1] = accept_request(listener);
+	send_order_answer(fds[1], "r2");
+	assert_received(caller, "HTTP/1.1 200 ");
+	close(caller);
+	close(fds[1]);
+	stop_listening();
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		FIXTURE_TEST(test_response_received_at_deadline),
 		FIXTURE_TEST(test_events_received_at_silence_timeout),
 		FIXTURE_TEST(test_store_reply_received_at_timeout),
+		FIXTURE_TEST(test_stale_bytes_on_pooled_connection),
+		FIXTURE_TEST(test_closed_pooled_connection),
 	};
 
 	if (sodium_init() < 0)
