The version of a stream without a record is known only to those who watched

Cause: the inference trusted too little knowledge.

Fix: an instance infers only if it has watched the list without a gap (2.5 s) for the whole window; one that has not stores the versions of its streams as it does while versions are mixed; and while a mix is so young that others may infer the version before it, an event is passed on only once its record is stored. Refused instead, at once: streams without a record that are taken up at an instance in its first seconds.

test_unknown_stream_with_one_version and test_stream_from_before_the_second_ version pinned the trust that was wrong: the fixture is an instance that has just started.

--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -126,6 +126,13 @@
 				  window_ms, now);
 }
 
+bool fleet_needs_version_record(struct fleet *fleet, const char *service,
+				int64_t window_ms, int64_t now)
+{
+	return versions_need_record(get_service(fleet, service)->versions,
+				    window_ms, now);
+}
+
 const char *fleet_unrecorded_version(struct fleet *fleet, const char *service,
 				     int64_t window_ms, int64_t now)
 {
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -115,6 +115,9 @@
 /** See versions_are_mixed(). */
 bool fleet_has_mixed_versions(struct fleet *fleet, const char *service,
 			      int64_t window_ms, int64_t now);
+/** See versions_need_record(). */
+bool fleet_needs_version_record(struct fleet *fleet, const char *service,
+				int64_t window_ms, int64_t now);
 /** See versions_unrecorded(). */
 const char *fleet_unrecorded_version(struct fleet *fleet, const char *service,
 				     int64_t window_ms, int64_t now);
--- a/decide/versions.c
+++ b/decide/versions.c
@@ -5,7 +5,15 @@
 
 #include "versions.h"
 
+enum {
+	GAP_MS = 2500, /* without a look at the list: changes are missed */
+	VIEW_SKEW_MS = 2000, /* between the lists of two instances */
+};
+
 struct versions {
+	bool observed;
+	int64_t watched_since_ms; /* without a gap */
+	int64_t observed_ms;	  /* the last look */
 	char *sole; /* the version while it is or was the only one, or NULL */
 	bool several;
 	bool were_several; /* at some time before */
@@ -32,12 +40,26 @@
 	versions->sole = g_strdup(version);
 }
 
+/* What was seen before a gap says nothing of the time after it. */
+static void forget(struct versions *versions, int64_t now)
+{
+	set_sole(versions, NULL);
+	versions->several = false;
+	versions->were_several = false;
+	versions->observed = true;
+	versions->watched_since_ms = now;
+}
+
 void versions_observe(struct versions *versions, const char *version,
 		      bool several, int64_t now)
 {
-	bool replaced =
-		versions->sole != NULL && strcmp(versions->sole, version) != 0;
+	bool replaced;
 
+	if (!versions->observed || now - versions->observed_ms > GAP_MS)
+		forget(versions, now);
+	versions->observed_ms = now;
+	replaced =
+		versions->sole != NULL && strcmp(versions->sole, version) != 0;
 	if (several) {
 		if (!versions->several)
 			versions->since_ms = now;
@@ -52,6 +74,14 @@
 	set_sole(versions, version);
 }
 
+/* Whether the list was watched for the whole window. */
+static bool has_watched(const struct versions *versions, int64_t window_ms,
+			int64_t now)
+{
+	return versions->observed && now - versions->observed_ms <= GAP_MS &&
+	       now - versions->watched_since_ms >= window_ms;
+}
+
 static bool were_several_within(const struct versions *versions,
 				int64_t window_ms, int64_t now)
 {
@@ -62,14 +92,23 @@
 			int64_t now)
 {
 	return versions->several ||
-	       were_several_within(versions, window_ms, now);
+	       were_several_within(versions, window_ms, now) ||
+	       !has_watched(versions, window_ms, now);
+}
+
+bool versions_need_record(const struct versions *versions, int64_t window_ms,
+			  int64_t now)
+{
+	return versions->several &&
+	       now - versions->since_ms < window_ms + VIEW_SKEW_MS;
 }
 
 const char *versions_unrecorded(const struct versions *versions,
 				int64_t window_ms, int64_t now)
 {
 	/* Streams of before are recorded, or their record was lost. */
-	if (were_several_within(versions, window_ms, now))
+	if (!has_watched(versions, window_ms, now) ||
+	    were_several_within(versions, window_ms, now))
 		return NULL;
 	if (versions->several && now - versions->since_ms >= window_ms)
 		return NULL;
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -204,15 +204,21 @@
 
 /* Ties the stream to the version of the server that sent its first event. While
  * there are others, no caller gets an event before every instance can learn the
- * version. */
+ * version, or at least none can mistake it. */
 static void bind_version(struct exch *x)
 {
+	struct fleet *fleet = x->shared->fleet;
+	const char *service = x->service->name;
+	int64_t window_ms = exch_version_window_ms(x);
+	int64_t now_ms = clock_boot_ms();
+
 	x->version = g_strdup(x->server->version);
 	if (x->route->resumable && x->turn != NULL &&
-	    fleet_has_mixed_versions(x->shared->fleet, x->service->name,
-				     exch_version_window_ms(x),
-				     clock_boot_ms()))
-		x->storing_version = turns_store_version(x->turn, x->version);
+	    fleet_has_mixed_versions(fleet, service, window_ms, now_ms))
+		x->storing_version = turns_store_version(
+			x->turn, x->version,
+			fleet_needs_version_record(fleet, service, window_ms,
+						   now_ms));
 }
 
 static void on_event(void *arg, const struct splitter_event *event)
--- a/serve/turns.c
+++ b/serve/turns.c
@@ -305,7 +305,8 @@
 {
 	turn->writing_version = false;
 	turn->version_stored = result == STORE_OK;
-	if (turn->version_reported || result == STORE_CONFLICT)
+	if (turn->version_reported || result == STORE_CONFLICT ||
+	    (turn->version_needed && !turn->version_stored))
 		return false;
 	turn->version_reported = true;
 	turn->handler->version_stored(turn->arg);
@@ -570,11 +571,14 @@
 	program_flush(turn->program);
 }
 
-bool turns_store_version(struct turns_turn *turn, const char *version)
+bool turns_store_version(struct turns_turn *turn, const char *version,
+			 bool needed)
 {
-	if (!store_is_healthy(turn->program->turns->store, turn->program->part))
+	if (!needed &&
+	    !store_is_healthy(turn->program->turns->store, turn->program->part))
 		return false;
 	turn->version = g_strdup(version);
+	turn->version_needed = needed;
 	program_flush(turn->program);
 	return true;
 }
--- a/serve/turns.h
+++ b/serve/turns.h
@@ -48,7 +48,7 @@
 	void (*granted)(void *arg);
 	/** It is committed to the store. */
 	void (*committed)(void *arg);
-	/** Its version is stored, or can't be for now. */
+	/** Its version is stored; or can't be for now and need not. */
 	void (*version_stored)(void *arg);
 };
 
@@ -81,9 +81,11 @@
  * Stores the software version that began the turn's stream, so that any
  * instance can go on with it.
  *
+ * @param needed the handler is called only when it is stored
  * @return false if the store is unreachable; the handler is not called then
  */
-bool turns_store_version(struct turns_turn *turn, const char *version);
+bool turns_store_version(struct turns_turn *turn, const char *version,
+			 bool needed);
 /**
  * Searches for the version that began a stream.
  *
--- a/serve/turns_int.h
+++ b/serve/turns_int.h
@@ -131,6 +131,7 @@
 	char *version; /* that began the stream; NULL: not to be stored */
 	bool writing_version; /* in the current transaction */
 	bool version_stored;
+	bool version_needed;
 	bool version_reported; /* to the handler */
 };
 
--- a/test/unit/test_stream_version.c
+++ b/test/unit/test_stream_version.c
@@ -19,6 +19,8 @@
 
 enum {
 	LISTED_MS = 100, /* until all instances know of a server */
+	/* The timeout of the route and the skew between two lists, and more. */
+	WATCHED_MS = 5500,
 	AT_ONCE_MS = 300,
 	AWAY_MS = 50, /* less than any timeout of the store */
 };
@@ -211,8 +213,11 @@
 	struct fixture_response response;
 
 	(void)state;
+	fixture_run_until(NULL, WATCHED_MS);
 	begin_stream(&response, 0, "b");
 	fixture_response_clear(&response);
+	/* Only its budget: the version is not stored. */
+	assert_int_equal(rowstore_count_rows(fx.store, "aps-programs"), 1);
 	put_other("e2");
 	put_other("e3");
 	resume_stream(&response, 1, "r", "b");
@@ -221,13 +226,32 @@
 	fixture_response_clear(&response);
 }
 
-/* With one version in service, a stream that no instance knows goes on. */
+/* With one version for as long as the stream may be old, it goes on without a
+ * record. An instance that has just started can't tell. */
 static void test_unknown_stream_with_one_version(void **state)
 {
 	struct fixture_response response;
 
 	(void)state;
-	resume_stream(&response, 1, "r", "unknown");
+	resume_stream(&response, 1, "r1", "unknown");
+	assert_int_equal(response.status, 503);
+	assert_non_null(response.retry_after);
+	fixture_response_clear(&response);
+	fixture_run_until(NULL, WATCHED_MS);
+	resume_stream(&response, 1, "r2", "unknown");
+	assert_resumed(&response);
+	fixture_response_clear(&response);
+}
+
+/* A stream that an instance has begun soon after its own start has a record. */
+static void test_stream_of_a_new_instance(void **state)
+{
+	struct fixture_response response;
+
+	(void)state;
+	begin_stream(&response, 0, "b");
+	fixture_response_clear(&response);
+	resume_stream(&response, 1, "r", "b");
 	assert_resumed(&response);
 	fixture_response_clear(&response);
 }
@@ -333,6 +357,30 @@
 	fixture_response_clear(&response);
 }
 
+/* Guards against an event of the second version that others would take for one
+ * of the first: it is held back while its record can't be stored. */
+static void test_young_mix_needs_the_record(void **state)
+{
+	struct fixture_response response;
+
+	(void)state;
+	put_all_engines("e2");
+	begin_stream(&response, 0, "a");
+	fixture_run_until(&response.done, RESPONSE_TIMEOUT_MS);
+	fixture_response_clear(&response);
+	rowstore_set_mode(fx.store, ROWSTORE_UNAVAILABLE);
+	fixture_send(&response, 0, "POST", "/free/turn",
+		     HEADERS "Request-Id: b\r\n", "x");
+	fixture_run_until(&response.done, 500);
+	assert_non_null(last_run("b"));
+	assert_int_equal(response.body->len, 0);
+	rowstore_set_mode(fx.store, ROWSTORE_OK);
+	fixture_run_until(&response.done, RESPONSE_TIMEOUT_MS);
+	assert_int_equal(response.status, 200);
+	assert_int_equal(response.end, UPSTREAM_COMPLETE);
+	fixture_response_clear(&response);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -342,7 +390,9 @@
 		FIXTURE_TEST(test_version_outlives_the_instance),
 		FIXTURE_TEST(test_stream_from_before_the_second_version),
 		FIXTURE_TEST(test_unknown_stream_with_one_version),
+		FIXTURE_TEST(test_stream_of_a_new_instance),
 		FIXTURE_TEST(test_unknown_stream_with_two_versions),
+		FIXTURE_TEST(test_young_mix_needs_the_record),
 		FIXTURE_TEST(test_version_in_an_unreachable_store),
 		FIXTURE_TEST(test_version_rows_expire),
 		FIXTURE_TEST(test_version_that_is_gone),
