Soak: streams that are taken up while versions of engines change

The soak has six callers of resumable streams (8 events, 15 ms apart) beside the present ones. A broken stream is taken up through another gateway, up to six attempts within 3 s; a quarter leave by themselves after some event, and a quarter have no token budget and so begin while the store is away. Each event names its engine, and the caller checks at once that the event ids are 1, 2, 3 .. and that all engines of the stream have one version. Attempts also get the present checks: 503 did not run, 200 ran, body, account, no API key.

Engines come and go as in releases, one ID for one version, at least one ready: a newer version comes, old engines drain and leave, some cut off at once, an older version comes back under a new ID, or all engines are replaced in one go. Connections of servers are cut at random besides the present faults, whose choices and bounds are unchanged; server faults now hit any listed engine. At the end streams have to be served again, as turns do. A failure is printed with its time, and once only.

Each wrong stream was begun without a record, and the instance that took it up inferred the version from its own list.

--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -171,5 +171,10 @@
 {
 	proxy->mode = mode;
 	if (mode == PROXY_RESET)
-		g_ptr_array_set_size(proxy->pairs, 0);
+		proxy_cut(proxy);
+}
+
+void proxy_cut(struct proxy *proxy)
+{
+	g_ptr_array_set_size(proxy->pairs, 0);
 }
--- a/test/soak/proxy.h
+++ b/test/soak/proxy.h
@@ -27,5 +27,7 @@
 /** Changes the mode for all connections. A connection that has dropped bytes
  * forwards nothing more in any mode, since its stream would have a gap. */
 void proxy_set_mode(struct proxy *proxy, enum proxy_mode mode);
+/** Closes the present connections, whatever the mode. */
+void proxy_cut(struct proxy *proxy);
 
 #endif
--- a/test/standins/backend.h
+++ b/test/standins/backend.h
@@ -57,6 +57,10 @@
 struct backend *backend_create(struct event_base *base, const char *address,
 			       const char *id, guint n_events,
 			       int event_gap_ms);
+/** Makes the streams of paths that begin with @p path, which must outlive the
+ * server, differ from the others. */
+void backend_set_long_streams(struct backend *backend, const char *path,
+			      guint n_events, int event_gap_ms);
 void backend_destroy(struct backend *backend);
 void backend_set_mode(struct backend *backend, enum backend_mode mode);
 /** Returns the requests that ran, oldest first: of struct backend_run *. */
