Put a timeout off by turns of the event loop too, not only by time

Callers saw: 504 for a request whose answer had been received in time.

Cause: a timeout is put off while received bytes wait to be parsed, for at most 50 ms. The bytes are read in the next turn of the loop and parsed after the timers of that turn. If the turn in which they came takes longer than 50 ms (applying a configuration took a small instance about 60 ms), the time is over before they were parsed.

Fix: a timeout counts only if the time is over and it was put off six times: each of the two timers of a call gets three turns at least, also if both are due.

--- a/serve/upstream.c
+++ b/serve/upstream.c
@@ -18,7 +18,11 @@
 	KEEP_ALIVE_MS = 4000,	    /* if the peer announces no timeout */
 	KEEP_ALIVE_MARGIN_MS = 700, /* closes before the peer does */
 	USER_TIMEOUT_MS = 5000,	    /* limit for unacknowledged data */
-	PUT_OFF_MAX_MS = 50,	    /* to parse what was received */
+	/* A timeout is put off for this time and this often at least, to parse
+	 * what was received: it takes up to three turns of the event loop, of
+	 * any length. The two timers of a call are counted together. */
+	PUT_OFF_MS = 50,
+	PUT_OFF_COUNT = 2 * 3,
 };
 
 struct upstream {
@@ -50,6 +54,7 @@
 	const struct upstream_handler *handler;
 	void *arg;
 	bool sent;
+	unsigned int put_offs;	/* of a timeout, since the first */
 	uint64_t skipped_bytes; /* of responses to other requests */
 	bool skipping; /* interim response, or one to another request */
 	bool complete;
@@ -452,18 +457,28 @@
 	conn_free(conn);
 }
 
-bool upstream_put_off(const struct upstream_call *call, struct event *timer,
+static bool may_put_off(struct upstream_call *call, int64_t *until_ms)
+{
+	int64_t now_ms = clock_boot_ms();
+
+	if (*until_ms == 0) {
+		*until_ms = now_ms + PUT_OFF_MS;
+		call->put_offs = 0;
+	}
+	if (now_ms >= *until_ms && call->put_offs >= PUT_OFF_COUNT)
+		return false;
+	call->put_offs++;
+	return true;
+}
+
+bool upstream_put_off(struct upstream_call *call, struct event *timer,
 		      int64_t *until_ms)
 {
 	const struct conn *conn = call->conn;
 	struct timeval tv = clock_timeval(1);
-	int64_t now_ms = clock_boot_ms();
 
-	if (!conn->connected || !input_is_pending(conn->bev))
-		return false;
-	if (*until_ms == 0)
-		*until_ms = now_ms + PUT_OFF_MAX_MS;
-	if (now_ms >= *until_ms)
+	if (!conn->connected || !input_is_pending(conn->bev) ||
+	    !may_put_off(call, until_ms))
 		return false;
 	event_add(timer, &tv);
 	return true;
--- a/serve/upstream.h
+++ b/serve/upstream.h
@@ -65,13 +65,15 @@
 void upstream_cancel(struct upstream_call *call);
 /**
  * Puts off a timeout of the call if bytes of its response have been received
- * and not been parsed, as they will be in this turn of the event loop.
+ * and not been parsed, as they will be in one of the next turns of the event
+ * loop.
  *
  * @param timer    the timer of that timeout, which is armed again
- * @param until_ms 0 at first; ends a response that never does
+ * @param until_ms 0 at first; bounds the time, and the number of turns, that a
+ *                 response without an end is given
  * @return false if the timeout counts
  */
-bool upstream_put_off(const struct upstream_call *call, struct event *timer,
+bool upstream_put_off(struct upstream_call *call, struct event *timer,
 		      int64_t *until_ms);
 /** Closes the idle connections of a pool. */
 void upstream_close_idle(GQueue *idle);
--- a/test/unit/test_busy_loop.c
+++ b/test/unit/test_busy_loop.c
@@ -19,6 +19,7 @@
 #include <sodium.h>
 
 #include "platform/rowstore.h"
+#include "serve/clock.h"
 #include "test/gateway/fixture.h"
 
 #define PEER_ADDRESS "127.0.0.1:18406"
@@ -32,6 +33,7 @@
 	STREAM_SILENCE_MS = 600, /* three times the objective of the route */
 	STORE_TIMEOUT_MS = 1500, /* the longest timeout of a store call */
 	BUSY_EXTRA_MS = 100,
+	STALL_MS = 70, /* about what applying a configuration can take */
 };
 
 static int peer_listener = -1; /* a failed test leaves it open */
@@ -347,6 +349,70 @@
 	stop_listening();
 }
 
+/* What a timer of the test sends; it is due before the request's deadline. */
+struct late_answer {
+	int fd;
+	const char *bytes;
+};
+
+static void on_answer_timer(evutil_socket_t fd, short what, void *arg)
+{
+	const struct late_answer *answer = arg;
+
+	(void)fd;
+	(void)what;
+	assert_int_equal(send(answer->fd, answer->bytes, strlen(answer->bytes),
+			      MSG_NOSIGNAL),
+			 strlen(answer->bytes));
+}
+
+static void on_stall_timer(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	(void)arg;
+	usleep(STALL_MS * 1000);
+}
+
+/* In one turn of the loop, after it has polled: the answer comes, a deadline
+ * @p ms from now passes, and the loop stalls. */
+static void stall_in_turn_of_deadline(struct late_answer *answer, int ms)
+{
+	struct timeval before = clock_timeval(ms / 2);
+	struct timeval after = clock_timeval(ms + BUSY_EXTRA_MS);
+
+	event_base_once(fx.base, -1, EV_TIMEOUT, on_answer_timer, answer,
+			&before);
+	event_base_once(fx.base, -1, EV_TIMEOUT, on_stall_timer, NULL, &after);
+	usleep((useconds_t)(ms + 2 * BUSY_EXTRA_MS) * 1000);
+}
+
+#define ORDER_HEAD                                                             \
+	"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: sig\r\n"
+
+/* Guards against 504 for a request whose response was there in time, if the
+ * turn of the loop takes longer than a timeout is put off. */
+static void test_response_at_deadline_in_long_turn(void **state)
+{
+	struct late_answer answer = {.bytes = ORDER_HEAD
+				     "Content-Length: 2\r\n\r\nok"};
+	int listener = listen_as_peer();
+	struct fixture_response response;
+
+	(void)state;
+	put_peer("shop", "s1");
+	fixture_send(&response, 0, "POST", "/order/1",
+		     AUTH_HEADER "Request-Id: r1\r\n", "x");
+	answer.fd = accept_request(listener);
+	stall_in_turn_of_deadline(&answer, ORDER_TIMEOUT_MS);
+	fixture_run_until(&response.done, RESPONSE_TIMEOUT_MS);
+	close(answer.fd);
+	stop_listening();
+	assert_int_equal(response.status, 200);
+	assert_string_equal(response.body->str, "ok");
+	fixture_response_clear(&response);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -355,6 +421,7 @@
 		FIXTURE_TEST(test_store_reply_received_at_timeout),
 		FIXTURE_TEST(test_stale_bytes_on_pooled_connection),
 		FIXTURE_TEST(test_closed_pooled_connection),
+		FIXTURE_TEST(test_response_at_deadline_in_long_turn),
 	};
 
 	if (sodium_init() < 0)
