--- a/decide/versions.c
+++ b/decide/versions.c
@@ -7,7 +7,6 @@
 
 enum {
 	GAP_MS = 2500, /* without a look at the list: changes are missed */
-	VIEW_SKEW_MS = 2000, /* between the lists of two instances */
 };
 
 struct versions {
@@ -100,7 +99,7 @@
 			  int64_t now)
 {
 	return versions->several &&
-	       now - versions->since_ms < window_ms + VIEW_SKEW_MS;
+	       now - versions->since_ms < window_ms + VERSIONS_SKEW_MS;
 }
 
 const char *versions_unrecorded(const struct versions *versions,
--- a/decide/versions.h
+++ b/decide/versions.h
@@ -14,6 +14,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+enum {
+	/** Between the times at which two instances see a change of the list.
+	 */
+	VERSIONS_SKEW_MS = 2000,
+};
+
 /** The versions of one service. */
 struct versions;
 
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "decide/versions.h"
 #include "exchange_int.h"
 #include "platform/wire.h"
 #include "slog.h"
@@ -13,7 +14,6 @@
 	PEER_RETRY_AFTER_MS = 50,   /* another instance may serve it at once */
 	QUOTA_WAIT_MS = 120,	    /* a refusal may end a running program */
 	QUOTA_WAIT_NEW_MS = 40,	    /* a refusal costs only the round trip */
-	VIEW_SKEW_MS = 2000, /* between the server lists of two instances */
 };
 
 const char *exch_account_name(const struct exch *x)
@@ -126,7 +126,7 @@
 
 int64_t exch_version_window_ms(const struct exch *x)
 {
-	return x->route->timeout_ms + VIEW_SKEW_MS;
+	return x->route->timeout_ms + VERSIONS_SKEW_MS;
 }
 
 void exch_set_timer(struct event *timer, int64_t ms)
