--- a/serve/call.h
+++ b/serve/call.h
@@ -30,6 +30,13 @@
 				* first event, or NULL */
 };
 
+/** Whether a response names the rate limit of its server. */
+enum response_limit {
+	RESPONSE_NO_LIMIT,
+	RESPONSE_LIMIT,
+	RESPONSE_LIMIT_UNREADABLE, /**< says nothing about the limit */
+};
+
 /** Contents of a backend server's response, without status and body. */
 struct response {
 	bool not_executed; /**< the server did not execute the request */
@@ -38,6 +45,8 @@
 	bool has_load;	   /**< running and waiting are set */
 	uint32_t running;
 	uint32_t waiting;
+	enum response_limit limit;
+	double limit_per_s; /**< requests a second, of all instances */
 	bool is_signed; /**< carries the server's signature of the body */
 	bool event_stream;
 };
--- a/serve/exchange.h
+++ b/serve/exchange.h
@@ -10,6 +10,7 @@
 #include "admission.h"
 #include "decide/fleet.h"
 #include "decide/quota.h"
+#include "decide/server_limits.h"
 #include "decide/suspect.h"
 #include "inbound.h"
 #include "members.h"
@@ -27,6 +28,7 @@
 	struct quota *quota;
 	struct adm *admission;
 	struct suspects *suspects;
+	struct slim *server_limits;
 	struct members *members;
 	struct turns *turns;
 	const char *zone;
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -268,6 +268,30 @@
 		event_del(x->timer);
 }
 
+/* Records what the response says about its server's rate limit. */
+static void note_server_limit(struct exch *x)
+{
+	struct slim *limits = x->shared->server_limits;
+	const char *server = x->server->id;
+	int64_t now_ms = clock_boot_ms();
+	bool news = false;
+
+	if (x->response.misdirected)
+		return;
+	if (x->response.limit == RESPONSE_LIMIT)
+		news = slim_on_named(limits, server, x->response.limit_per_s,
+				     now_ms);
+	else if (x->response.limit == RESPONSE_NO_LIMIT &&
+		 x->response.is_signed)
+		news = slim_on_unnamed(limits, server, x->sent_ms);
+	if (news)
+		slog("server_limit", x->call.id,
+		     "\"server\":%s,\"named\":%s,\"per_s\":%.2f",
+		     slog_quote(server),
+		     x->response.limit == RESPONSE_LIMIT ? "true" : "false",
+		     x->response.limit_per_s);
+}
+
 static void on_head(void *arg, const struct upstream_head *head)
 {
 	struct exch *x = arg;
@@ -277,6 +301,7 @@
 	if (x->response.has_load)
 		fleet_on_load_report(x->server, x->response.running,
 				     x->response.waiting, clock_boot_ms());
+	note_server_limit(x);
 	if (x->response.not_executed || x->response.misdirected ||
 	    x->response.encoded ||
 	    (head->status < 300 && !x->response.is_signed))
@@ -404,6 +429,30 @@
 	return x->service->engine ? MIN(priority, PRIORITY_MAX) : -1;
 }
 
+/* Logs what is known of the server to which the request is sent. */
+static void log_send(const struct exch *x, int64_t now_ms, int64_t left_ms)
+{
+	const struct fleet_server *server = x->server;
+	struct slim_limit limit = {0};
+
+	(void)slim_get(x->shared->server_limits, server->id, &limit);
+	slog("sent", x->call.id,
+	     "\"server\":%s,\"account\":%s,\"running\":%u,\"told\":%u,"
+	     "\"told_ms\":%" G_GINT64_FORMAT ",\"left_ms\":%" G_GINT64_FORMAT
+	     ",\"route\":%s,\"config\":%" G_GINT64_FORMAT
+	     ",\"version\":%s,\"after_event\":%" G_GINT64_FORMAT
+	     ",\"resumes\":%s,\"limit\":%.2f,\"limit_ms\":%" G_GINT64_FORMAT,
+	     slog_quote(server->id), slog_quote(exch_account_name(x)),
+	     server->running,
+	     server->reported_running + server->reported_waiting,
+	     server->reported_at_ms > 0 ? now_ms - server->reported_at_ms : -1,
+	     left_ms, slog_quote(x->route->name), cat_version(x->catalog),
+	     slog_quote(server->version), x->last_event_id,
+	     slog_quote(x->call.resumes ? x->call.resumes : ""),
+	     limit.named ? limit.per_s : -1.0,
+	     limit.named ? now_ms - limit.as_of_ms : -1);
+}
+
 static void send_to_server(struct exch *x, struct fleet_server *server,
 			   int64_t now_ms)
 {
@@ -442,20 +491,7 @@
 		g_byte_array_set_size(x->buffered, 0);
 	fleet_on_send(server, now_ms);
 	stats_count(STATS_SENT);
-	slog("sent", x->call.id,
-	     "\"server\":%s,\"account\":%s,\"running\":%u,\"told\":%u,"
-	     "\"told_ms\":%" G_GINT64_FORMAT ",\"left_ms\":%" G_GINT64_FORMAT
-	     ",\"route\":%s,\"config\":%" G_GINT64_FORMAT
-	     ",\"version\":%s,\"after_event\":%" G_GINT64_FORMAT
-	     ",\"resumes\":%s",
-	     slog_quote(server->id), slog_quote(exch_account_name(x)),
-	     server->running,
-	     server->reported_running + server->reported_waiting,
-	     server->reported_at_ms > 0 ? now_ms - server->reported_at_ms : -1,
-	     forward.deadline_ms, slog_quote(x->route->name),
-	     cat_version(x->catalog), slog_quote(server->version),
-	     x->last_event_id,
-	     slog_quote(x->call.resumes ? x->call.resumes : ""));
+	log_send(x, now_ms, forward.deadline_ms);
 	request.head = wire_build_request(x->request, &forward,
 					  g_bytes_get_size(x->body));
 	x->upstream = upstream_send(x->shared->upstream, &request,
--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -403,6 +403,7 @@
 	shared->quota = quota_create(settings->id, clock_boot_ms());
 	shared->admission = adm_create(gw->base, shared->quota);
 	shared->suspects = suspect_create();
+	shared->server_limits = slim_create();
 	shared->turns = turns_create(gw->base, shared->store, incarnation,
 				     (uint64_t)settings->cache_kb * 1024);
 	shared->sessions =
@@ -468,6 +469,7 @@
 	adm_destroy(shared->admission);
 	quota_destroy(shared->quota);
 	suspect_destroy(shared->suspects);
+	slim_destroy(shared->server_limits);
 	store_destroy(shared->store);
 	upstream_destroy(shared->upstream);
 	g_hash_table_destroy(shared->sessions);
