--- a/serve/call.h
+++ b/serve/call.h
@@ -47,7 +47,7 @@
 	uint32_t waiting;
 	enum response_limit limit;
 	double limit_per_s; /**< requests a second, of all instances */
-	bool is_signed; /**< carries the server's signature of the body */
+	bool is_signed;	    /**< carries the server's signature of the body */
 	bool event_stream;
 };
 
--- a/test/standins/backend.c
+++ b/test/standins/backend.c
@@ -23,6 +23,7 @@
 	guint n_long_events;
 	int long_gap_ms;
 	enum backend_mode mode;
+	const char *limit_per_s; /* named in each response, or NULL */
 	GPtrArray *runs;
 	guint cancelled;
 };
@@ -76,6 +77,7 @@
 	run->headers = g_string_free(lines, FALSE);
 	run->body = g_strndup((const char *)request->body->data,
 			      request->body->len);
+	run->received_ms = request->received_at_ms;
 	run->last_event_id = last ? g_ascii_strtoll(last, NULL, 10) : -1;
 	g_ptr_array_add(backend->runs, run);
 	return run;
@@ -93,6 +95,9 @@
 			headers, "Response-Signature: sig-%s\r\n", backend->id);
 	if (backend->mode == BACKEND_ENCODED)
 		g_string_append(headers, "Content-Encoding: gzip\r\n");
+	if (backend->limit_per_s != NULL)
+		g_string_append_printf(headers, "Server-Limit: %s\r\n",
+				       backend->limit_per_s);
 	return headers;
 }
 
@@ -336,6 +341,11 @@
 	backend->mode = mode;
 }
 
+void backend_set_limit(struct backend *backend, const char *per_s)
+{
+	backend->limit_per_s = per_s;
+}
+
 const GPtrArray *backend_runs(const struct backend *backend)
 {
 	return backend->runs;
--- a/test/standins/backend.h
+++ b/test/standins/backend.h
@@ -42,6 +42,7 @@
 	char *headers; /**< every header, "name: value\n" each */
 	char *body;
 	int64_t last_event_id; /**< Last-Event-Id; -1 if missing */
+	int64_t received_ms;   /**< CLOCK_BOOTTIME of its last byte */
 };
 
 struct backend;
@@ -63,6 +64,9 @@
 			      guint n_events, int event_gap_ms);
 void backend_destroy(struct backend *backend);
 void backend_set_mode(struct backend *backend, enum backend_mode mode);
+/** Names a rate limit, @p per_s requests a second, in each response from now
+ * on; NULL: none. */
+void backend_set_limit(struct backend *backend, const char *per_s);
 /** Returns the requests that ran, oldest first: of struct backend_run *. */
 const GPtrArray *backend_runs(const struct backend *backend);
 /** Returns how many streams ended because their caller disconnected. */
--- /dev/null
+++ b/test/unit/test_server_limit.c
@@ -0,0 +1,120 @@
+/**
+ * @file test_server_limit.c
+ * @brief Rate limits that backend servers name, at two instances.
+ *
+ * See fixture.h. The bound is the one that users state: in any four seconds a
+ * server gets at most one and a half times what its limit allows, and five
+ * requests more, from all instances that know the limit.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+#include <sodium.h>
+
+#include "serve/clock.h"
+#include "test/gateway/fixture.h"
+
+#define LOG_PATH "build/test_server_limit.log"
+
+enum {
+	WINDOW_MS = 4000,
+	LEARN_MS = 500,	     /* until an instance must act on a limit */
+	REQUEST_GAP_MS = 20, /* of the load, over both instances */
+	LOAD_MAX = 1000,     /* requests */
+};
+
+/* Requests that are sent at a fixed rate and answered in any order. */
+struct load {
+	struct fixture_response responses[LOAD_MAX];
+	guint count;
+};
+
+/* Sends idempotent requests to both instances in turn. */
+static void send_load(struct load *load, int64_t ms)
+{
+	int64_t end_ms = clock_boot_ms() + ms;
+
+	while (clock_boot_ms() < end_ms && load->count < LOAD_MAX) {
+		char *headers = g_strdup_printf(
+			AUTH_HEADER "Request-Id: l%u\r\n", load->count);
+		int gateway = (int)(load->count % GATEWAY_COUNT);
+
+		fixture_send(&load->responses[load->count++], gateway, "GET",
+			     "/get/1", headers, "");
+		g_free(headers);
+		fixture_run_until(NULL, REQUEST_GAP_MS);
+	}
+}
+
+/* Waits for the responses; returns how many requests were not served. */
+static guint finish_load(struct load *load)
+{
+	guint not_served = 0;
+
+	for (guint i = 0; i < load->count; i++) {
+		struct fixture_response *response = &load->responses[i];
+
+		fixture_run_until(&response->done, RESPONSE_TIMEOUT_MS);
+		not_served += response->status != 200;
+		fixture_response_clear(response);
+	}
+	return not_served;
+}
+
+/* Returns the most requests that a server got in any window after @p since_ms.
+ */
+static guint busiest_window(const struct backend *backend, int64_t since_ms)
+{
+	const GPtrArray *runs = backend_runs(backend);
+	guint busiest = 0;
+
+	for (guint i = 0; i < runs->len; i++) {
+		const struct backend_run *first = g_ptr_array_index(runs, i);
+		guint n = 0;
+
+		if (first->received_ms < since_ms)
+			continue;
+		while (i + n < runs->len &&
+		       ((struct backend_run *)g_ptr_array_index(runs, i + n))
+					       ->received_ms -
+				       first->received_ms <
+			       WINDOW_MS)
+			n++;
+		busiest = MAX(busiest, n);
+	}
+	return busiest;
+}
+
+static double window_max(double limit_per_s)
+{
+	return 1.5 * limit_per_s * WINDOW_MS / 1000.0 + 5;
+}
+
+/* A server got more than it had named, from instances that it had told. */
+static void test_server_gets_more_than_it_named(void **state)
+{
+	struct load *load = g_new0(struct load, 1);
+	int64_t start_ms = clock_boot_ms();
+
+	(void)state;
+	backend_set_limit(fx.services[0], "2.5");
+	send_load(load, LEARN_MS + WINDOW_MS + LEARN_MS);
+	assert_int_equal(finish_load(load), 0);
+	assert_in_range(busiest_window(fx.services[0], start_ms + LEARN_MS), 0,
+			window_max(2.5));
+	g_free(load);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		FIXTURE_TEST(test_server_gets_more_than_it_named),
+	};
+
+	if (sodium_init() < 0 || freopen(LOG_PATH, "w", stdout) == NULL)
+		return 1;
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
