--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -258,6 +258,16 @@
 	}
 }
 
+bool fleet_has(const struct fleet *fleet, const char *id)
+{
+	return g_hash_table_contains(fleet->servers, id);
+}
+
+bool fleet_is_in_service(const struct fleet_server *server)
+{
+	return server->listed && !server->draining && !server->evacuated;
+}
+
 guint fleet_count(const struct fleet *fleet)
 {
 	return g_hash_table_size(fleet->servers);
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -77,6 +77,10 @@
 	/** This instance's part of @p units a second of a cold server. */
 	uint32_t (*cold_share)(void *arg, const char *server, uint32_t units);
 	void *cold_share_arg;
+	/** For how long no request may be sent to a server that names a rate
+	 * limit, in ms; 0: one may. */
+	int64_t (*limit_wait_ms)(void *arg, const char *server);
+	void *limit_wait_arg;
 	uint32_t max_conns; /**< connections that a server accepts; 0: any */
 	uint32_t instances; /**< that share these limits */
 	const GPtrArray *tried; /**< ids of servers to leave out */
@@ -85,10 +89,11 @@
 /** Result of fleet_pick(). */
 enum fleet_pick_status {
 	FLEET_FOUND,
-	FLEET_NO_SERVER, /**< none is in service */
-	FLEET_ALL_TRIED, /**< all in service have been tried */
-	FLEET_ALL_COLD,	 /**< the rest are cold and at their rate limit */
-	FLEET_ALL_FULL,	 /**< the rest have no connection left */
+	FLEET_NO_SERVER,   /**< none is in service */
+	FLEET_ALL_TRIED,   /**< all in service have been tried */
+	FLEET_ALL_COLD,	   /**< the rest are cold and at their rate limit */
+	FLEET_ALL_FULL,	   /**< the rest have no connection left */
+	FLEET_ALL_LIMITED, /**< the rest are at the rate limit they name */
 };
 
 /** The backend servers of all services. */
@@ -122,6 +127,10 @@
 const char *fleet_unrecorded_version(struct fleet *fleet, const char *service,
 				     int64_t window_ms, int64_t now);
 
+/** Whether there is a listed server of that id. */
+bool fleet_has(const struct fleet *fleet, const char *id);
+/** Whether a server accepts new requests. */
+bool fleet_is_in_service(const struct fleet_server *server);
 /** Returns the number of listed servers. */
 guint fleet_count(const struct fleet *fleet);
 /** Calls @p fn for each listed server. */
--- a/decide/fleet_pick.c
+++ b/decide/fleet_pick.c
@@ -22,11 +22,6 @@
 #define PACE_WEIGHT 0.3
 #define PACE_MAX_MS 400.0
 
-static bool is_in_service(const struct fleet_server *server)
-{
-	return server->listed && !server->draining && !server->evacuated;
-}
-
 static bool has_version(const struct fleet_server *server,
 			const struct fleet_query *query)
 {
@@ -56,6 +51,14 @@
 				 (uint32_t)query->cold_per_s);
 }
 
+/* Whether the instances have used up the rate limit that the server names. */
+static bool is_at_rate_limit(const struct fleet_server *server,
+			     const struct fleet_query *query)
+{
+	return query->limit_wait_ms != NULL &&
+	       query->limit_wait_ms(query->limit_wait_arg, server->id) > 0;
+}
+
 /* Whether this instance has used up its share of the server's connections. */
 static bool is_out_of_connections(const struct fleet_server *server,
 				  const struct fleet_query *query)
@@ -163,7 +166,7 @@
 		      const struct fleet_query *query, int64_t now,
 		      enum fleet_pick_status *why)
 {
-	if (!is_in_service(server) || !has_version(server, query))
+	if (!fleet_is_in_service(server) || !has_version(server, query))
 		return false;
 	if (was_tried(server, query)) {
 		if (*why == FLEET_NO_SERVER)
@@ -178,6 +181,10 @@
 		*why = FLEET_ALL_FULL;
 		return false;
 	}
+	if (is_at_rate_limit(server, query)) {
+		*why = FLEET_ALL_LIMITED;
+		return false;
+	}
 	return true;
 }
 
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -1,4 +1,4 @@
-/** @file quota.c @brief Distributed rate limit of client accounts. */
+/** @file quota.c @brief Distributed rate limits. */
 #include <math.h>
 #include <string.h>
 
@@ -49,6 +49,7 @@
 	bool refilled;	     /* at least once */
 	bool credited;	     /* has had its restart credit */
 	bool divided;	     /* the limit is divided by demand */
+	bool undivided;	     /* see struct quota_limit */
 	uint32_t home_epoch; /* membership epoch for which home was computed */
 };
 
@@ -277,14 +278,16 @@
 /*
  * A missing instance may still act as home for its own callers. Among few
  * instances that is a large part of the limit, so there is no home until all
- * are present; among many, it takes a majority to be home.
+ * are present; among many, or if the limit is never divided, it takes a
+ * majority to be home.
  */
 static void update_home(struct quota *quota, const char *account,
 			struct bucket *bucket)
 {
 	guint alive = g_hash_table_size(quota->alive) + 1;
-	guint needed = quota_divides_limits(quota) ? quota->instances
-						   : quota->instances / 2 + 1;
+	guint needed = quota_divides_limits(quota) && !bucket->undivided
+			       ? quota->instances
+			       : quota->instances / 2 + 1;
 
 	if (bucket->home_epoch == quota->members_epoch)
 		return;
@@ -300,11 +303,12 @@
  * token to send a request; where shares are smaller than that, or where the
  * fleet is too large for reports of demand, nearly all is in one place.
  */
-static double home_share(const struct quota *quota, double burst)
+static double home_share(const struct quota *quota,
+			 const struct quota_limit *limit)
 {
-	if (!quota_divides_limits(quota))
+	if (limit->undivided || !quota_divides_limits(quota))
 		return 1;
-	return burst / quota->instances < 1.0 ? HOME_SHARE : 0;
+	return limit->burst / quota->instances < 1.0 ? HOME_SHARE : 0;
 }
 
 static double compute_share(const struct quota *quota, struct bucket *bucket,
@@ -362,10 +366,11 @@
 		   struct bucket *bucket, const struct quota_limit *limit,
 		   int64_t now)
 {
-	double at_home = home_share(quota, limit->burst);
+	double at_home = home_share(quota, limit);
 	double share = (1 - at_home) * compute_share(quota, bucket, now);
 	double capacity;
 
+	bucket->undivided = limit->undivided;
 	update_home(quota, account, bucket);
 	bucket->divided = at_home == 0;
 	set_acting(quota, bucket,
@@ -456,7 +461,7 @@
 	gpointer instance;
 	gpointer p;
 
-	if (home_share(quota, limit->burst) > 0) {
+	if (home_share(quota, limit) > 0) {
 		best = find_home(quota, account, asked);
 		if (strcmp(best, quota->id) != 0)
 			return best;
@@ -483,8 +488,9 @@
 {
 	struct bucket *bucket = get_bucket(quota, account);
 
+	bucket->undivided = limit->undivided;
 	update_home(quota, account, bucket);
-	return home_share(quota, limit->burst) > 0 && !bucket->is_home;
+	return home_share(quota, limit) > 0 && !bucket->is_home;
 }
 
 uint32_t quota_lend(struct quota *quota, const char *account,
@@ -529,6 +535,11 @@
 	get_bucket(quota, account)->tokens += 1.0;
 }
 
+void quota_forget(struct quota *quota, const char *account)
+{
+	g_hash_table_remove(quota->buckets, account);
+}
+
 void quota_inspect(const struct quota *quota, const char *account,
 		   struct quota_view *view)
 {
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -1,6 +1,7 @@
 /**
  * @file quota.h
- * @brief Distributed rate limit of client accounts over all instances.
+ * @brief Distributed rate limits over all instances: of client accounts, and of
+ * backend servers that name one (see server_limits.h).
  *
  * The load it must handle: one account sends many times its rate through all
  * instances, unevenly, while instances join, leave and lose contact.
@@ -68,6 +69,9 @@
 	double rate;  /**< requests a second; 0: no limit */
 	double burst; /**< requests beyond the rate */
 	double slack; /**< excess allowed over all instances, in requests */
+	/** All of it is always at the home, which needs only a majority of the
+	 * instances: whoever lacks contact with it can do without. */
+	bool undivided;
 };
 
 /**
@@ -122,6 +126,9 @@
 	bool home; /**< this instance is the account's home */
 };
 
+/** Frees the state of a limit that is not used any more. */
+void quota_forget(struct quota *quota, const char *account);
+
 /** Copies the state of an account to @p view. */
 void quota_inspect(const struct quota *quota, const char *account,
 		   struct quota_view *view);
--- a/proto/rows.pb-c.c
+++ b/proto/rows.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &rows__mark__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rows__server_limit__init
+                     (Rows__ServerLimit         *message)
+{
+  static const Rows__ServerLimit init_value = ROWS__SERVER_LIMIT__INIT;
+  *message = init_value;
+}
+size_t rows__server_limit__get_packed_size
+                     (const Rows__ServerLimit *message)
+{
+  assert(message->base.descriptor == &rows__server_limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rows__server_limit__pack
+                     (const Rows__ServerLimit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rows__server_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rows__server_limit__pack_to_buffer
+                     (const Rows__ServerLimit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rows__server_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rows__ServerLimit *
+       rows__server_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rows__ServerLimit *)
+     protobuf_c_message_unpack (&rows__server_limit__descriptor,
+                                allocator, len, data);
+}
+void   rows__server_limit__free_unpacked
+                     (Rows__ServerLimit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rows__server_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rows__rumor__init
                      (Rows__Rumor         *message)
 {
@@ -943,6 +988,70 @@
   (ProtobufCMessageInit) rows__mark__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rows__server_limit__field_descriptors[3] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rows__ServerLimit, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_s",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rows__ServerLimit, per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rows__ServerLimit, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rows__server_limit__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = per_s */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange rows__server_limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rows__server_limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rows.ServerLimit",
+  "ServerLimit",
+  "Rows__ServerLimit",
+  "rows",
+  sizeof(Rows__ServerLimit),
+  3,
+  rows__server_limit__field_descriptors,
+  rows__server_limit__field_indices_by_name,
+  1,  rows__server_limit__number_ranges,
+  (ProtobufCMessageInit) rows__server_limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue rows__rumor__kind__enum_values_by_number[4] =
 {
   { "SUSPECTED", "ROWS__RUMOR__KIND__SUSPECTED", 0 },
@@ -1065,7 +1174,7 @@
   (ProtobufCMessageInit) rows__rumor__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rows__probe__field_descriptors[8] =
+static const ProtobufCFieldDescriptor rows__probe__field_descriptors[9] =
 {
   {
     "id",
@@ -1163,12 +1272,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limits",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rows__Probe, n_limits),
+    offsetof(Rows__Probe, limits),
+    &rows__server_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rows__probe__field_indices_by_name[] = {
   2,   /* field[2] = config_age_ms */
   7,   /* field[7] = demands */
   1,   /* field[1] = epoch */
   0,   /* field[0] = id */
+  8,   /* field[8] = limits */
   5,   /* field[5] = marks */
   6,   /* field[6] = reports */
   4,   /* field[4] = rumors */
@@ -1177,7 +1299,7 @@
 static const ProtobufCIntRange rows__probe__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor rows__probe__descriptor =
 {
@@ -1187,14 +1309,14 @@
   "Rows__Probe",
   "rows",
   sizeof(Rows__Probe),
-  8,
+  9,
   rows__probe__field_descriptors,
   rows__probe__field_indices_by_name,
   1,  rows__probe__number_ranges,
   (ProtobufCMessageInit) rows__probe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rows__borrow__field_descriptors[5] =
+static const ProtobufCFieldDescriptor rows__borrow__field_descriptors[6] =
 {
   {
     "id",
@@ -1256,18 +1378,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Borrow, limit),
+    &rows__server_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rows__borrow__field_indices_by_name[] = {
   1,   /* field[1] = account */
   4,   /* field[4] = begins */
   0,   /* field[0] = id */
+  5,   /* field[5] = limit */
   3,   /* field[3] = serial */
   2,   /* field[2] = wanted */
 };
 static const ProtobufCIntRange rows__borrow__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor rows__borrow__descriptor =
 {
@@ -1277,14 +1412,14 @@
   "Rows__Borrow",
   "rows",
   sizeof(Rows__Borrow),
-  5,
+  6,
   rows__borrow__field_descriptors,
   rows__borrow__field_indices_by_name,
   1,  rows__borrow__number_ranges,
   (ProtobufCMessageInit) rows__borrow__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rows__lend__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rows__lend__field_descriptors[5] =
 {
   {
     "account",
@@ -1334,17 +1469,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Lend, limit),
+    &rows__server_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rows__lend__field_indices_by_name[] = {
   0,   /* field[0] = account */
   1,   /* field[1] = granted */
+  4,   /* field[4] = limit */
   2,   /* field[2] = serial */
   3,   /* field[3] = wait_ms */
 };
 static const ProtobufCIntRange rows__lend__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor rows__lend__descriptor =
 {
@@ -1354,7 +1502,7 @@
   "Rows__Lend",
   "rows",
   sizeof(Rows__Lend),
-  4,
+  5,
   rows__lend__field_descriptors,
   rows__lend__field_indices_by_name,
   1,  rows__lend__number_ranges,
--- a/proto/rows.pb-c.h
+++ b/proto/rows.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Rows__Member Rows__Member;
 typedef struct Rows__Demand Rows__Demand;
 typedef struct Rows__Mark Rows__Mark;
+typedef struct Rows__ServerLimit Rows__ServerLimit;
 typedef struct Rows__Rumor Rows__Rumor;
 typedef struct Rows__Probe Rows__Probe;
 typedef struct Rows__Borrow Rows__Borrow;
@@ -176,6 +177,27 @@
     , 0, NULL }
 
 
+/*
+ * Rate limit that a backend server has named.
+ */
+struct  Rows__ServerLimit
+{
+  ProtobufCMessage base;
+  char *server;
+  /*
+   * requests a second, of all instances; 0: it names none any more
+   */
+  float per_s;
+  /*
+   * time since the server said so
+   */
+  uint32_t age_ms;
+};
+#define ROWS__SERVER_LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rows__server_limit__descriptor) \
+    , NULL, 0, 0 }
+
+
 /*
  * News about an instance, passed on from one to the next.
  */
@@ -228,14 +250,20 @@
   protobuf_c_boolean reports;
   size_t n_demands;
   Rows__Demand **demands;
+  /*
+   * news
+   */
+  size_t n_limits;
+  Rows__ServerLimit **limits;
 };
 #define ROWS__PROBE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rows__probe__descriptor) \
-    , NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL }
+    , NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
- * Asks another instance for tokens of an account's quota.
+ * Asks another instance for tokens of an account's quota or of a server's rate
+ * limit.
  */
 struct  Rows__Borrow
 {
@@ -244,6 +272,9 @@
    * asking instance
    */
   char *id;
+  /*
+   * or the name of the server's limit
+   */
   char *account;
   uint32_t wanted;
   uint32_t serial;
@@ -252,10 +283,14 @@
    */
   protobuf_c_boolean has_begins;
   protobuf_c_boolean begins;
+  /*
+   * what the asking instance knows of it
+   */
+  Rows__ServerLimit *limit;
 };
 #define ROWS__BORROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rows__borrow__descriptor) \
-    , NULL, NULL, 0, 0, 0, 0 }
+    , NULL, NULL, 0, 0, 0, 0, NULL }
 
 
 /*
@@ -272,10 +307,14 @@
    */
   protobuf_c_boolean has_wait_ms;
   uint32_t wait_ms;
+  /*
+   * what the lender knows of it
+   */
+  Rows__ServerLimit *limit;
 };
 #define ROWS__LEND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rows__lend__descriptor) \
-    , NULL, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, NULL }
 
 
 struct  Rows__Datagram
@@ -423,6 +462,25 @@
 void   rows__mark__free_unpacked
                      (Rows__Mark *message,
                       ProtobufCAllocator *allocator);
+/* Rows__ServerLimit methods */
+void   rows__server_limit__init
+                     (Rows__ServerLimit         *message);
+size_t rows__server_limit__get_packed_size
+                     (const Rows__ServerLimit   *message);
+size_t rows__server_limit__pack
+                     (const Rows__ServerLimit   *message,
+                      uint8_t             *out);
+size_t rows__server_limit__pack_to_buffer
+                     (const Rows__ServerLimit   *message,
+                      ProtobufCBuffer     *buffer);
+Rows__ServerLimit *
+       rows__server_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rows__server_limit__free_unpacked
+                     (Rows__ServerLimit *message,
+                      ProtobufCAllocator *allocator);
 /* Rows__Rumor methods */
 void   rows__rumor__init
                      (Rows__Rumor         *message);
@@ -541,6 +599,9 @@
 typedef void (*Rows__Mark_Closure)
                  (const Rows__Mark *message,
                   void *closure_data);
+typedef void (*Rows__ServerLimit_Closure)
+                 (const Rows__ServerLimit *message,
+                  void *closure_data);
 typedef void (*Rows__Rumor_Closure)
                  (const Rows__Rumor *message,
                   void *closure_data);
@@ -569,6 +630,7 @@
 extern const ProtobufCMessageDescriptor rows__member__descriptor;
 extern const ProtobufCMessageDescriptor rows__demand__descriptor;
 extern const ProtobufCMessageDescriptor rows__mark__descriptor;
+extern const ProtobufCMessageDescriptor rows__server_limit__descriptor;
 extern const ProtobufCMessageDescriptor rows__rumor__descriptor;
 extern const ProtobufCEnumDescriptor    rows__rumor__kind__descriptor;
 extern const ProtobufCMessageDescriptor rows__probe__descriptor;
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -331,6 +331,14 @@
 	g_free(waiter);
 }
 
+void adm_forget(struct adm *adm, const char *account)
+{
+	struct queue *queue = g_hash_table_lookup(adm->queues, account);
+
+	if (queue != NULL && cds_list_empty(&queue->waiters))
+		g_hash_table_remove(adm->queues, account);
+}
+
 void adm_on_lend(struct adm *adm, const char *account, uint32_t granted,
 		 int64_t wait_ms, uint32_t serial)
 {
--- a/serve/admission.h
+++ b/serve/admission.h
@@ -48,6 +48,9 @@
 			       void *arg);
 /** Removes a request whose caller has disconnected from the queue. */
 void adm_cancel(struct adm_waiter *waiter);
+/** Frees the queue of an account that is not used any more, unless requests
+ * wait in it. */
+void adm_forget(struct adm *adm, const char *account);
 /** Another instance has lent @p granted requests. If that is 0, @p wait_ms says
  * when it may lend again, or is 0. */
 void adm_on_lend(struct adm *adm, const char *account, uint32_t granted,
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -38,6 +38,7 @@
 	exch_cancel_upstream(x);
 	if (x->waiter != NULL)
 		adm_cancel(x->waiter);
+	exch_cancel_acquire(x);
 	if (x->search != NULL)
 		turns_cancel_search(x->search);
 	if (x->turn != NULL)
@@ -339,8 +340,9 @@
 
 static void acquire_quota(struct exch *x)
 {
-	struct quota_limit limit = {x->account->rate, x->account->burst,
-				    x->shared->quota_slack};
+	struct quota_limit limit = {.rate = x->account->rate,
+				    .burst = x->account->burst,
+				    .slack = x->shared->quota_slack};
 	bool begins = begins_program(x);
 	int64_t max_wait_ms = begins ? QUOTA_WAIT_NEW_MS : QUOTA_WAIT_MS;
 	struct adm_waiter *waiter;
--- a/serve/exchange_int.h
+++ b/serve/exchange_int.h
@@ -3,8 +3,8 @@
  * @brief Internal interface between the exchange*.c files.
  *
  * exchange.c authenticates and admits a request and ends it, exchange_pick.c
- * selects a backend server for it, and exchange_send.c sends it there and
- * relays the response.
+ * selects a backend server for it, exchange_limit.c keeps to the rate limit of
+ * that server, and exchange_send.c sends it there and relays the response.
  */
 #ifndef APS_EXCHANGE_INT_H
 #define APS_EXCHANGE_INT_H
@@ -28,6 +28,9 @@
 	int64_t deadline_at_ms;
 	struct adm_waiter *waiter; /* set while it waits for quota */
 	bool quota_taken;
+	struct adm_waiter *server_waiter; /* for the rate limit of a server */
+	struct fleet_server *awaited_server;
+	int64_t limit_wait_ms; /* until a server at its limit may get it */
 	uint64_t fingerprint;
 	GBytes *body; /* as sent to the backend server */
 
@@ -98,6 +101,18 @@
 /** Selects a backend server and sends the request; otherwise retries later or
  * answers with an error. */
 void exch_send(struct exch *x);
+/** Sends the request to @p server. */
+void exch_send_to_server(struct exch *x, struct fleet_server *server);
+/** Whether the server names a rate limit. */
+bool exch_has_rate_limit(const struct exch *x,
+			 const struct fleet_server *server);
+/** Sends the request to @p server once its rate limit allows that, shortly; or
+ * selects another one. */
+void exch_acquire_server(struct exch *x, struct fleet_server *server);
+/** Abandons exch_acquire_server(). */
+void exch_cancel_acquire(struct exch *x);
+/** Records what the response says about its server's rate limit. */
+void exch_note_server_limit(struct exch *x);
 /** Handles a server that has sent nothing for too long. */
 void exch_on_silence(struct exch *x);
 /** Handles an attempt that ended without a complete response. */
--- a/serve/exchange_pick.c
+++ b/serve/exchange_pick.c
@@ -55,9 +55,30 @@
 	return members_share_of(arg, server, units);
 }
 
+/* The servers at their rate limit that were passed over. */
+struct limited_servers {
+	const struct slim *limits;
+	int64_t now_ms;
+	int64_t wait_ms; /* until the first of them may get a request */
+};
+
+static int64_t limit_wait_ms(void *arg, const char *server)
+{
+	struct limited_servers *limited = arg;
+	int64_t wait_ms =
+		slim_wait_ms(limited->limits, server, limited->now_ms);
+
+	if (wait_ms > 0)
+		limited->wait_ms = MIN(limited->wait_ms, wait_ms);
+	return wait_ms;
+}
+
 struct fleet_server *exch_pick(struct exch *x, int64_t now_ms,
 			       enum fleet_pick_status *why)
 {
+	struct limited_servers limited = {x->shared->server_limits, now_ms,
+					  G_MAXINT32};
+	struct fleet_server *server;
 	struct fleet_query query = {
 		.service = x->service->name,
 		.zone = x->shared->zone,
@@ -75,10 +96,14 @@
 		.cold_per_s = x->service->cold_per_s,
 		.cold_share = cold_share,
 		.cold_share_arg = x->shared->members,
+		.limit_wait_ms = limit_wait_ms,
+		.limit_wait_arg = &limited,
 		.max_conns = x->service->max_conns,
 		.instances = members_count(x->shared->members),
 		.tried = x->tried_servers,
 	};
 
-	return fleet_pick(x->shared->fleet, &query, now_ms, why);
+	server = fleet_pick(x->shared->fleet, &query, now_ms, why);
+	x->limit_wait_ms = limited.wait_ms;
+	return server;
 }
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -268,30 +268,6 @@
 		event_del(x->timer);
 }
 
-/* Records what the response says about its server's rate limit. */
-static void note_server_limit(struct exch *x)
-{
-	struct slim *limits = x->shared->server_limits;
-	const char *server = x->server->id;
-	int64_t now_ms = clock_boot_ms();
-	bool news = false;
-
-	if (x->response.misdirected)
-		return;
-	if (x->response.limit == RESPONSE_LIMIT)
-		news = slim_on_named(limits, server, x->response.limit_per_s,
-				     now_ms);
-	else if (x->response.limit == RESPONSE_NO_LIMIT &&
-		 x->response.is_signed)
-		news = slim_on_unnamed(limits, server, x->sent_ms);
-	if (news)
-		slog("server_limit", x->call.id,
-		     "\"server\":%s,\"named\":%s,\"per_s\":%.2f",
-		     slog_quote(server),
-		     x->response.limit == RESPONSE_LIMIT ? "true" : "false",
-		     x->response.limit_per_s);
-}
-
 static void on_head(void *arg, const struct upstream_head *head)
 {
 	struct exch *x = arg;
@@ -301,7 +277,7 @@
 	if (x->response.has_load)
 		fleet_on_load_report(x->server, x->response.running,
 				     x->response.waiting, clock_boot_ms());
-	note_server_limit(x);
+	exch_note_server_limit(x);
 	if (x->response.not_executed || x->response.misdirected ||
 	    x->response.encoded ||
 	    (head->status < 300 && !x->response.is_signed))
@@ -453,9 +429,9 @@
 	     limit.named ? now_ms - limit.as_of_ms : -1);
 }
 
-static void send_to_server(struct exch *x, struct fleet_server *server,
-			   int64_t now_ms)
+void exch_send_to_server(struct exch *x, struct fleet_server *server)
 {
+	int64_t now_ms = clock_boot_ms();
 	struct forward forward = {
 		.server = server->id,
 		.account = x->account ? x->account->name : NULL,
@@ -546,15 +522,21 @@
 {
 	int64_t max_wait_ms = retry_queue_wait_ms(
 		x->route->slo_ms, x->deadline_at_ms - x->started_ms);
-	int64_t retry_after_ms = retry_after_hint_ms(x->route->slo_ms);
-
+	int64_t retry_after_ms =
+		why == FLEET_ALL_LIMITED
+			? x->limit_wait_ms
+			: retry_after_hint_ms(x->route->slo_ms);
+	int64_t waited_ms = now_ms - x->started_ms;
+
+	if (why == FLEET_ALL_LIMITED)
+		waited_ms += x->limit_wait_ms;
 	if (x->retry.response_started && why == FLEET_NO_SERVER) {
 		exch_fail(x, "no server to go on", 502);
 		return;
 	}
 	/* A stream that has begun waits up to its deadline. */
-	if (why != FLEET_NO_SERVER && (x->retry.response_started ||
-				       now_ms - x->started_ms < max_wait_ms)) {
+	if (why != FLEET_NO_SERVER &&
+	    (x->retry.response_started || waited_ms < max_wait_ms)) {
 		if (why == FLEET_ALL_TRIED)
 			forget_tried(x, now_ms);
 		exch_set_timer(x->timer, SELECT_RETRY_MS);
@@ -566,7 +548,9 @@
 		exch_refuse(x, STATS_REFUSED_FULL, 503,
 			    why == FLEET_NO_SERVER  ? "no server in service"
 			    : why == FLEET_ALL_COLD ? "servers cold"
-						    : "servers full",
+			    : why == FLEET_ALL_LIMITED
+				    ? "servers at their rate limit"
+				    : "servers full",
 			    retry_after_ms);
 }
 
@@ -576,8 +560,10 @@
 	enum fleet_pick_status why;
 	struct fleet_server *server = exch_pick(x, now_ms, &why);
 
-	if (server != NULL)
-		send_to_server(x, server, now_ms);
-	else
+	if (server == NULL)
 		on_no_server(x, why, now_ms);
+	else if (exch_has_rate_limit(x, server))
+		exch_acquire_server(x, server);
+	else
+		exch_send_to_server(x, server);
 }
--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -20,7 +20,8 @@
 	TOTALS_TICKS = 50, /* between two lines of totals: 10 s */
 	/* The load balancer has to see two failed health checks, 1 s apart. */
 	LISTEN_LINGER_MS = 3200,
-	EXIT_MARGIN_MS = 500, /* before the process is killed */
+	SERVER_LIMIT_KEPT_MS = 60000, /* of a server that is not listed */
+	EXIT_MARGIN_MS = 500,	      /* before the process is killed */
 	/* Feeds may lag by a second; a request takes time to arrive. */
 	REVOKE_MARGIN_MS = 1500,
 };
@@ -178,19 +179,32 @@
 	return watcher_config_age_ms(gw->shared.watcher);
 }
 
-static bool account_limit(void *arg, const char *account,
-			  struct quota_limit *limit)
+static bool server_limit(const struct gw *gw, const char *server,
+			 struct quota_limit *limit)
+{
+	struct slim_limit named;
+
+	if (!slim_get(gw->shared.server_limits, server, &named) || !named.named)
+		return false;
+	slim_quota_limit(&named, limit);
+	return true;
+}
+
+static bool find_limit(void *arg, const char *name, struct quota_limit *limit)
 {
 	struct gw *gw = arg;
 	const struct catalog *catalog = watcher_catalog(gw->shared.watcher);
-	const struct cat_account *found =
-		catalog ? cat_find_account(catalog, account) : NULL;
+	const char *server = slim_quota_server(name);
+	const struct cat_account *found;
 
+	if (server != NULL)
+		return server_limit(gw, server, limit);
+	found = catalog ? cat_find_account(catalog, name) : NULL;
 	if (found == NULL)
 		return false;
-	limit->rate = found->rate;
-	limit->burst = found->burst;
-	limit->slack = gw->shared.quota_slack;
+	*limit = (struct quota_limit){.rate = found->rate,
+				      .burst = found->burst,
+				      .slack = gw->shared.quota_slack};
 	return true;
 }
 
@@ -303,6 +317,21 @@
 	     watcher_config_age_ms(gw->shared.watcher));
 }
 
+/* Forgets the limit of a server that has left the list. */
+static bool forget_server_limit(void *arg, const char *server)
+{
+	struct gw *gw = arg;
+	char *name;
+
+	if (fleet_has(gw->shared.fleet, server))
+		return false;
+	name = slim_quota_name(server);
+	adm_forget(gw->shared.admission, name);
+	quota_forget(gw->shared.quota, name);
+	g_free(name);
+	return true;
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct gw *gw = arg;
@@ -313,6 +342,9 @@
 		advance_shutdown(gw);
 	if (++gw->ticks % TOTALS_TICKS == 0) {
 		exch_expire_sessions(&gw->shared);
+		slim_expire(gw->shared.server_limits,
+			    clock_boot_ms() - SERVER_LIMIT_KEPT_MS,
+			    forget_server_limit, gw);
 		log_totals(gw);
 	}
 	slog_flush();
@@ -380,7 +412,7 @@
 		.address = settings->peers,
 		.relay = settings->relay,
 		.config_age_ms = config_age_ms,
-		.account_limit = account_limit,
+		.find_limit = find_limit,
 		.on_lend = on_lend,
 		.on_suspect = on_suspect,
 		.arg = gw,
@@ -412,6 +444,7 @@
 					 on_config, gw);
 	config.store = shared->store;
 	config.quota = shared->quota;
+	config.server_limits = shared->server_limits;
 	shared->members = members_create(&config);
 	adm_set_members(shared->admission, shared->members);
 	if (shared->members == NULL)
--- a/serve/members.c
+++ b/serve/members.c
@@ -406,7 +406,7 @@
 	members->count = 1;
 	members->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       member_free);
-	members->suspects = g_queue_new();
+	members->news = g_queue_new();
 	members->period_timer =
 		add_periodic_timer(members, LIVE_PERIOD_MS, on_period);
 	members->renew_timer =
@@ -428,13 +428,7 @@
 	members_net_close(members);
 	live_destroy(members->live);
 	g_hash_table_destroy(members->by_id);
-	for (GList *l = members->suspects->head; l != NULL; l = l->next) {
-		struct suspect_report *report = l->data;
-
-		g_free(report->server);
-		g_free(report);
-	}
-	g_queue_free(members->suspects);
+	members_news_clear(members);
 	g_free(members);
 }
 
--- a/serve/members.h
+++ b/serve/members.h
@@ -5,8 +5,9 @@
  * Each instance renews a row of its own and reads all rows now and then; a
  * failure detector (decide/live.h) finds those that do not respond. An instance
  * that is quiet and whose row is no longer renewed is considered gone. Probes
- * also carry demand per account and requests suspected of crashing backend
- * servers. What an instance sends does not grow with the fleet.
+ * also carry demand per account, requests suspected of crashing backend servers
+ * and the rate limits that servers name. What an instance sends does not grow
+ * with the fleet.
  */
 #ifndef APS_MEMBERS_H
 #define APS_MEMBERS_H
@@ -14,6 +15,7 @@
 #include <event2/event.h>
 
 #include "decide/quota.h"
+#include "decide/server_limits.h"
 #include "platform/rowstore.h"
 
 struct members;
@@ -23,6 +25,7 @@
 	struct event_base *base;
 	struct store *store;
 	struct quota *quota;
+	struct slim *server_limits;
 	const char *id;
 	const char *zone;
 	const char *address; /**< HOST:PORT for datagrams */
@@ -30,9 +33,10 @@
 	uint64_t epoch;	     /**< higher than that of its earlier starts */
 	/** Returns the age of the configuration. */
 	int64_t (*config_age_ms)(void *arg);
-	/** The limit of an account; returns false if there is none. */
-	bool (*account_limit)(void *arg, const char *account,
-			      struct quota_limit *limit);
+	/** The limit of that name in the quota, of an account or a server;
+	 * returns false if there is none. */
+	bool (*find_limit)(void *arg, const char *name,
+			   struct quota_limit *limit);
 	/** Another instance answered members_send_borrow(). If @p granted is
 	 * 0, @p wait_ms says when to ask again, or is 0. */
 	void (*on_lend)(void *arg, const char *account, uint32_t granted,
@@ -68,7 +72,10 @@
  * fingerprint. */
 void members_report_suspect(struct members *members, uint64_t fingerprint,
 			    const char *server);
-/** Asks @p instance to lend requests of an account's quota. */
+/** Reports to the others what @p server has said about its rate limit. */
+void members_report_limit(struct members *members, const char *server);
+/** Asks @p instance to lend requests of the quota of an account, or of a
+ * server's limit; @p account is its name in the quota. */
 void members_send_borrow(struct members *members, const char *instance,
 			 const char *account, uint32_t wanted, bool begins,
 			 uint32_t serial);
--- a/serve/members_int.h
+++ b/serve/members_int.h
@@ -1,9 +1,10 @@
 /**
  * @file members_int.h
- * @brief Internal interface between members.c and members_net.c.
+ * @brief Internal interface between the members*.c files.
  *
  * members.c keeps the list of instances by rows and by the failure detector;
- * members_net.c sends and receives the datagrams.
+ * members_net.c sends and receives the datagrams; members_news.c passes on what
+ * instances have seen of backend servers.
  */
 #ifndef APS_MEMBERS_INT_H
 #define APS_MEMBERS_INT_H
@@ -27,9 +28,16 @@
 	bool gone; /**< sends no more requests */
 };
 
-/** A request suspected of crashing a server, to be reported. */
-struct suspect_report {
-	uint64_t fingerprint;
+/** What a report to the other instances is about. */
+enum news_kind {
+	NEWS_SUSPECT,	   /**< a request suspected of crashing a server */
+	NEWS_SERVER_LIMIT, /**< what a server has said about its rate limit */
+};
+
+/** A report that is sent with the next datagrams. */
+struct news {
+	enum news_kind kind;
+	uint64_t fingerprint; /**< of the request, for NEWS_SUSPECT */
 	char *server;
 	int sends_left;
 };
@@ -44,7 +52,7 @@
 	struct store_call *read_call;
 	struct store_call *write_call;
 	GHashTable *by_id; /**< id -> struct member */
-	GQueue *suspects;  /**< of struct suspect_report, to be sent */
+	GQueue *news;	   /**< of struct news, to be sent */
 	uint64_t hash;	   /**< of this instance's id */
 	uint32_t heartbeat;
 	uint32_t count;	 /**< instances that may send requests */
@@ -69,4 +77,18 @@
 void members_net_probe(struct members *members, const struct member *member,
 		       bool wants_answer);
 
+/** Adds the reports that are due to @p probe; free them after it is sent. */
+void members_news_pack(struct members *members, Rows__Probe *probe);
+void members_news_free_packed(struct members *members, Rows__Probe *probe);
+/** Handles the reports of another instance. */
+void members_news_handle(struct members *members, const Rows__Probe *probe);
+/** Fills in what is known of a server's limit; returns false if nothing is. */
+bool members_news_fill_limit(const struct members *members, const char *server,
+			     Rows__ServerLimit *message);
+/** Handles what another instance knows of a server's limit. */
+void members_news_handle_limit(struct members *members,
+			       const Rows__ServerLimit *message);
+/** Frees the reports. */
+void members_news_clear(struct members *members);
+
 #endif
--- a/serve/members_net.c
+++ b/serve/members_net.c
@@ -12,10 +12,6 @@
 
 enum {
 	DATAGRAM_MAX_BYTES = 8192,
-	DATAGRAM_SUSPECTS_MAX = 16,
-	/* Each instance passes a report on so often; some datagrams get lost.
-	 */
-	SUSPECT_SENDS = 12,
 	CONFIG_AGE_MAX_MS = 3600000,
 };
 
@@ -74,50 +70,6 @@
 	g_ptr_array_add(list, demand);
 }
 
-void members_report_suspect(struct members *members, uint64_t fingerprint,
-			    const char *server)
-{
-	struct suspect_report *report = g_new(struct suspect_report, 1);
-
-	report->fingerprint = fingerprint;
-	report->server = g_strdup(server);
-	report->sends_left = SUSPECT_SENDS;
-	g_queue_push_tail(members->suspects, report);
-}
-
-/* Packs the reports for one datagram; each is sent SUSPECT_SENDS times. */
-static GPtrArray *pack_suspects(struct members *members)
-{
-	GPtrArray *list = g_ptr_array_new_with_free_func(g_free);
-
-	for (GList *l = members->suspects->head;
-	     l && list->len < DATAGRAM_SUSPECTS_MAX; l = l->next) {
-		struct suspect_report *report = l->data;
-		Rows__Mark *mark = g_new(Rows__Mark, 1);
-
-		rows__mark__init(mark);
-		mark->fingerprint = report->fingerprint;
-		mark->server = report->server;
-		report->sends_left--;
-		g_ptr_array_add(list, mark);
-	}
-	return list;
-}
-
-static void drop_sent_suspects(struct members *members)
-{
-	for (GList *l = members->suspects->head, *next; l != NULL; l = next) {
-		struct suspect_report *report = l->data;
-
-		next = l->next;
-		if (report->sends_left > 0)
-			continue;
-		g_queue_delete_link(members->suspects, l);
-		g_free(report->server);
-		g_free(report);
-	}
-}
-
 /* Adds the address of an instance that runs, for those that do not know it. */
 static void add_address(struct members *members, struct packed_rumors *packed,
 			size_t i)
@@ -160,7 +112,6 @@
 {
 	Rows__Datagram datagram = ROWS__DATAGRAM__INIT;
 	Rows__Probe probe = ROWS__PROBE__INIT;
-	GPtrArray *suspects = pack_suspects(members);
 	GPtrArray *demands = g_ptr_array_new_with_free_func(g_free);
 	struct packed_rumors rumors;
 
@@ -173,8 +124,7 @@
 	probe.wants_answer = wants_answer;
 	probe.n_rumors = rumors.count;
 	probe.rumors = rumors.pointers;
-	probe.n_marks = suspects->len;
-	probe.marks = (Rows__Mark **)suspects->pdata;
+	members_news_pack(members, &probe);
 	if (quota_divides_limits(members->config.quota)) {
 		quota_foreach(members->config.quota, clock_boot_ms(),
 			      add_demand, demands);
@@ -186,8 +136,7 @@
 	datagram.probe = &probe;
 	send_packed(members, &member->addr, &datagram);
 	g_ptr_array_free(demands, TRUE);
-	g_ptr_array_free(suspects, TRUE);
-	drop_sent_suspects(members);
+	members_news_free_packed(members, &probe);
 }
 
 /* Learns of an instance from a rumor that has its address. */
@@ -243,18 +192,6 @@
 	}
 }
 
-static void handle_marks(struct members *members, const Rows__Probe *probe)
-{
-	for (size_t i = 0; i < probe->n_marks; i++) {
-		const Rows__Mark *mark = probe->marks[i];
-
-		if (members->config.on_suspect(members->config.arg,
-					       mark->fingerprint, mark->server))
-			members_report_suspect(members, mark->fingerprint,
-					       mark->server);
-	}
-}
-
 /* Tells the others of an instance that this one did not know. */
 static void introduce(struct members *members, const Rows__Probe *probe,
 		      int64_t now_ms)
@@ -292,7 +229,7 @@
 		handle_rumor(members, probe->rumors[i], now_ms);
 	if (probe->has_reports && probe->reports)
 		handle_demands(members, probe, now_ms);
-	handle_marks(members, probe);
+	members_news_handle(members, probe);
 	if (probe->wants_answer)
 		members_net_probe(members, member, false);
 }
@@ -302,13 +239,19 @@
 {
 	Rows__Datagram datagram = ROWS__DATAGRAM__INIT;
 	Rows__Lend lend = ROWS__LEND__INIT;
+	Rows__ServerLimit known = ROWS__SERVER_LIMIT__INIT;
+	const char *server = slim_quota_server(borrow->account);
 	struct quota_limit limit;
 	int64_t wait_ms = 0;
 
+	if (borrow->limit != NULL)
+		members_news_handle_limit(members, borrow->limit);
+	if (server != NULL && members_news_fill_limit(members, server, &known))
+		lend.limit = &known;
 	lend.account = borrow->account;
 	lend.serial = borrow->serial;
-	if (members->config.account_limit(members->config.arg, borrow->account,
-					  &limit))
+	if (members->config.find_limit(members->config.arg, borrow->account,
+				       &limit))
 		lend.granted =
 			quota_lend(members->config.quota, borrow->account,
 				   &limit, borrow->wanted, borrow->begins,
@@ -327,6 +270,8 @@
 		g_hash_table_lookup(members->by_id, instance);
 	Rows__Datagram datagram = ROWS__DATAGRAM__INIT;
 	Rows__Borrow borrow = ROWS__BORROW__INIT;
+	Rows__ServerLimit known = ROWS__SERVER_LIMIT__INIT;
+	const char *server = slim_quota_server(account);
 
 	if (member == NULL || member->addr.sin_port == 0)
 		return;
@@ -336,6 +281,8 @@
 	borrow.serial = serial;
 	borrow.has_begins = begins;
 	borrow.begins = begins;
+	if (server != NULL && members_news_fill_limit(members, server, &known))
+		borrow.limit = &known;
 	datagram.borrow = &borrow;
 	send_packed(members, &member->addr, &datagram);
 }
@@ -348,6 +295,8 @@
 		handle_probe(members, datagram->probe, from);
 	if (datagram->borrow != NULL)
 		handle_borrow(members, datagram->borrow, from);
+	if (datagram->lend != NULL && datagram->lend->limit != NULL)
+		members_news_handle_limit(members, datagram->lend->limit);
 	if (datagram->lend != NULL)
 		members->config.on_lend(
 			members->config.arg, datagram->lend->account,
--- /dev/null
+++ b/serve/members_news.c
@@ -0,0 +1,174 @@
+/** @file members_news.c @brief What instances tell each other of servers. */
+#include <math.h>
+#include <string.h>
+
+#include "clock.h"
+#include "members_int.h"
+#include "slog.h"
+
+enum {
+	NEWS_MAX = 16, /* of each kind, in one datagram */
+	/* Each instance passes a report on so often; some datagrams get lost.
+	 */
+	NEWS_SENDS = 12,
+	LIMIT_AGE_MAX_MS = 3600000,
+};
+
+static void news_free(struct news *news)
+{
+	g_free(news->server);
+	g_free(news);
+}
+
+static void add_news(struct members *members, enum news_kind kind,
+		     uint64_t fingerprint, const char *server)
+{
+	struct news *news = g_new0(struct news, 1);
+
+	news->kind = kind;
+	news->fingerprint = fingerprint;
+	news->server = g_strdup(server);
+	news->sends_left = NEWS_SENDS;
+	g_queue_push_tail(members->news, news);
+}
+
+void members_report_suspect(struct members *members, uint64_t fingerprint,
+			    const char *server)
+{
+	add_news(members, NEWS_SUSPECT, fingerprint, server);
+}
+
+void members_report_limit(struct members *members, const char *server)
+{
+	for (GList *l = members->news->head; l != NULL; l = l->next) {
+		struct news *news = l->data;
+
+		if (news->kind == NEWS_SERVER_LIMIT &&
+		    strcmp(news->server, server) == 0) {
+			news->sends_left = NEWS_SENDS;
+			return;
+		}
+	}
+	add_news(members, NEWS_SERVER_LIMIT, 0, server);
+}
+
+bool members_news_fill_limit(const struct members *members, const char *server,
+			     Rows__ServerLimit *message)
+{
+	struct slim_limit limit;
+	int64_t age_ms;
+
+	if (!slim_get(members->config.server_limits, server, &limit))
+		return false;
+	age_ms = clock_boot_ms() - limit.as_of_ms;
+	message->server = (char *)server;
+	message->per_s = limit.named ? (float)limit.per_s : 0;
+	message->age_ms = (uint32_t)CLAMP(age_ms, 0, LIMIT_AGE_MAX_MS);
+	return true;
+}
+
+static void pack_suspect(const struct news *news, GPtrArray *marks)
+{
+	Rows__Mark *mark = g_new(Rows__Mark, 1);
+
+	rows__mark__init(mark);
+	mark->fingerprint = news->fingerprint;
+	mark->server = news->server;
+	g_ptr_array_add(marks, mark);
+}
+
+static void pack_limit(const struct members *members, const struct news *news,
+		       GPtrArray *limits)
+{
+	Rows__ServerLimit *limit = g_new(Rows__ServerLimit, 1);
+
+	rows__server_limit__init(limit);
+	if (members_news_fill_limit(members, news->server, limit))
+		g_ptr_array_add(limits, limit);
+	else
+		g_free(limit);
+}
+
+void members_news_pack(struct members *members, Rows__Probe *probe)
+{
+	GPtrArray *marks = g_ptr_array_new();
+	GPtrArray *limits = g_ptr_array_new();
+
+	for (GList *l = members->news->head; l != NULL; l = l->next) {
+		struct news *news = l->data;
+		bool is_limit = news->kind == NEWS_SERVER_LIMIT;
+
+		if ((is_limit ? limits : marks)->len >= NEWS_MAX)
+			continue;
+		news->sends_left--;
+		if (is_limit)
+			pack_limit(members, news, limits);
+		else
+			pack_suspect(news, marks);
+	}
+	probe->n_marks = marks->len;
+	probe->marks = (Rows__Mark **)g_ptr_array_free(marks, FALSE);
+	probe->n_limits = limits->len;
+	probe->limits = (Rows__ServerLimit **)g_ptr_array_free(limits, FALSE);
+}
+
+void members_news_free_packed(struct members *members, Rows__Probe *probe)
+{
+	for (size_t i = 0; i < probe->n_marks; i++)
+		g_free(probe->marks[i]);
+	for (size_t i = 0; i < probe->n_limits; i++)
+		g_free(probe->limits[i]);
+	g_free(probe->marks);
+	g_free(probe->limits);
+	for (GList *l = members->news->head, *next; l != NULL; l = next) {
+		struct news *news = l->data;
+
+		next = l->next;
+		if (news->sends_left > 0)
+			continue;
+		g_queue_delete_link(members->news, l);
+		news_free(news);
+	}
+}
+
+void members_news_handle_limit(struct members *members,
+			       const Rows__ServerLimit *message)
+{
+	struct slim_limit limit = {
+		.named = message->per_s > 0,
+		.per_s = message->per_s,
+		.as_of_ms = clock_boot_ms() - message->age_ms,
+	};
+
+	if (!isfinite(message->per_s) ||
+	    !slim_on_report(members->config.server_limits, message->server,
+			    &limit))
+		return;
+	slog("server_limit", NULL,
+	     "\"server\":%s,\"named\":%s,\"per_s\":%.2f,\"age_ms\":%u,"
+	     "\"source\":\"instance\"",
+	     slog_quote(message->server), limit.named ? "true" : "false",
+	     limit.per_s, message->age_ms);
+	members_report_limit(members, message->server);
+}
+
+void members_news_handle(struct members *members, const Rows__Probe *probe)
+{
+	for (size_t i = 0; i < probe->n_marks; i++) {
+		const Rows__Mark *mark = probe->marks[i];
+
+		if (members->config.on_suspect(members->config.arg,
+					       mark->fingerprint, mark->server))
+			members_report_suspect(members, mark->fingerprint,
+					       mark->server);
+	}
+	for (size_t i = 0; i < probe->n_limits; i++)
+		members_news_handle_limit(members, probe->limits[i]);
+}
+
+void members_news_clear(struct members *members)
+{
+	for (GList *l = members->news->head; l != NULL; l = l->next)
+		news_free(l->data);
+	g_queue_free(members->news);
+}
--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -62,7 +62,7 @@
 static void test_decided_exactly_once(void **state)
 {
 	struct fixture fx = set_up();
-	struct quota_limit limit = {1, 2, 0};
+	struct quota_limit limit = {.rate = 1, .burst = 2};
 	struct decision decisions[8] = {0};
 	struct adm_waiter *waits[8];
 
@@ -86,7 +86,7 @@
 static void test_request_waits_for_token(void **state)
 {
 	struct fixture fx = set_up();
-	struct quota_limit limit = {50, 1, 0};
+	struct quota_limit limit = {.rate = 50, .burst = 1};
 	struct decision first = {0};
 	struct decision second = {0};
 
@@ -107,7 +107,7 @@
 static void test_refused_early_without_token_in_time(void **state)
 {
 	struct fixture fx = set_up();
-	struct quota_limit limit = {1, 1, 0};
+	struct quota_limit limit = {.rate = 1, .burst = 1};
 	struct decision first = {0};
 	struct decision second = {0};
 	struct decision third = {0};
@@ -131,7 +131,7 @@
 static void test_no_contact_is_not_over_limit(void **state)
 {
 	struct fixture fx = set_up();
-	struct quota_limit limit = {1000, 1000, 0};
+	struct quota_limit limit = {.rate = 1000, .burst = 1000};
 	struct decision decision = {0};
 	bool elsewhere = false;
 
@@ -168,7 +168,7 @@
 static void test_cancelled_wait_is_not_decided(void **state)
 {
 	struct fixture fx = set_up();
-	struct quota_limit limit = {1, 1, 0};
+	struct quota_limit limit = {.rate = 1, .burst = 1};
 	struct decision first = {0};
 	struct decision second = {0};
 
--- a/test/unit/test_quota.c
+++ b/test/unit/test_quota.c
@@ -16,15 +16,18 @@
 
 #include "decide/quota.h"
 #include "decide/rng.h"
+#include "decide/server_limits.h"
 
 enum {
 	INSTANCE_COUNT = 12,
 	LARGE_CLUSTER = 90,
-	INSTANCES_MAX = LARGE_CLUSTER,
+	LARGEST_CLUSTER = 295,
+	INSTANCES_MAX = LARGEST_CLUSTER + 1,
 	GOSSIP_INTERVAL_MS = 250,
 	LENDERS_MAX = 3,
 	WINDOW_MS = 5000,
-	REQUEST_WAIT_MS = 120, /* how long a request may wait for a token */
+	SERVER_WINDOW_MS = 4000, /* for the rate limit of a server */
+	REQUEST_WAIT_MS = 120,	 /* how long a request may wait for a token */
 	RUN_MS = 20000,
 };
 
@@ -40,7 +43,7 @@
 	uint32_t refused_running; /* requests of running programs */
 };
 
-static char instance_ids[INSTANCES_MAX][4];
+static char instance_ids[INSTANCES_MAX][8];
 
 static void cluster_init(struct cluster *cluster, int n, uint64_t seed,
 			 double rate, double burst)
@@ -48,7 +51,8 @@
 	memset(cluster, 0, sizeof(*cluster));
 	cluster->n = n;
 	cluster->rng.state = seed;
-	cluster->limit = (struct quota_limit){rate, burst, 10};
+	cluster->limit =
+		(struct quota_limit){.rate = rate, .burst = burst, .slack = 10};
 	cluster->admitted_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	for (int i = 0; i < cluster->n; i++) {
 		g_snprintf(instance_ids[i], sizeof(instance_ids[i]), "i%d", i);
@@ -183,7 +187,7 @@
 }
 
 /* Returns the largest number of admitted requests in any window. */
-static guint busiest_window(struct cluster *cluster)
+static guint busiest_window(struct cluster *cluster, int64_t window_ms)
 {
 	guint first = 0;
 	guint busiest = 0;
@@ -191,7 +195,7 @@
 	g_array_sort(cluster->admitted_ms, compare_times);
 	for (guint i = 0; i < cluster->admitted_ms->len; i++) {
 		while (g_array_index(cluster->admitted_ms, int64_t, first) +
-			       WINDOW_MS <=
+			       window_ms <=
 		       g_array_index(cluster->admitted_ms, int64_t, i))
 			first++;
 		busiest = MAX(busiest, i - first + 1);
@@ -217,7 +221,8 @@
 		cluster_init(&cluster, INSTANCE_COUNT, seed, 30, 30);
 		run_load(&cluster, 18, 0, 5000);
 		run_load(&cluster, 225, 5000, RUN_MS);
-		assert_true(busiest_window(&cluster) <= admitted_max(&cluster));
+		assert_true(busiest_window(&cluster, WINDOW_MS) <=
+			    admitted_max(&cluster));
 		/* The account also gets at least 90% of its rate. */
 		assert_true(cluster.admitted_ms->len >
 			    0.9 * 30 * (RUN_MS - 5000) / 1000.0);
@@ -261,7 +266,8 @@
 		refused += cluster.refused;
 		requested += cluster.requested;
 		run_load(&cluster, 40, 12000, RUN_MS);
-		assert_true(busiest_window(&cluster) <= admitted_max(&cluster));
+		assert_true(busiest_window(&cluster, WINDOW_MS) <=
+			    admitted_max(&cluster));
 		cluster_clear(&cluster);
 	}
 	/* A single bucket would refuse none at 5.5 of 9 a second. */
@@ -280,7 +286,8 @@
 		cluster.limit.rate = 4;
 		cluster.limit.burst = 4;
 		run_load(&cluster, 25, 3000, RUN_MS);
-		assert_true(busiest_window(&cluster) <= admitted_max(&cluster));
+		assert_true(busiest_window(&cluster, WINDOW_MS) <=
+			    admitted_max(&cluster));
 		cluster_clear(&cluster);
 	}
 }
@@ -300,7 +307,8 @@
 		run_load(&cluster, 120, 5000, 12000);
 		memset(cluster.is_cut_off, 0, sizeof(cluster.is_cut_off));
 		run_load(&cluster, 120, 12000, RUN_MS);
-		assert_true(busiest_window(&cluster) <= admitted_max(&cluster));
+		assert_true(busiest_window(&cluster, WINDOW_MS) <=
+			    admitted_max(&cluster));
 		cluster_clear(&cluster);
 	}
 }
@@ -324,7 +332,8 @@
 			}
 			run_load(&cluster, 60, now, now + 1000);
 		}
-		assert_true(busiest_window(&cluster) <= admitted_max(&cluster));
+		assert_true(busiest_window(&cluster, WINDOW_MS) <=
+			    admitted_max(&cluster));
 		cluster_clear(&cluster);
 	}
 }
@@ -431,7 +440,8 @@
 						       (uint64_t)cluster.n),
 					false, now);
 		}
-		assert_true(busiest_window(&cluster) <= admitted_max(&cluster));
+		assert_true(busiest_window(&cluster, WINDOW_MS) <=
+			    admitted_max(&cluster));
 		cluster_clear(&cluster);
 	}
 }
@@ -469,7 +479,8 @@
 			gossip(&cluster, now);
 			run_load(&cluster, 400, now, now + 1000);
 		}
-		assert_true(busiest_window(&cluster) <= admitted_max(&cluster));
+		assert_true(busiest_window(&cluster, WINDOW_MS) <=
+			    admitted_max(&cluster));
 		cluster_clear(&cluster);
 
 		cluster_init(&cluster, LARGE_CLUSTER, seed, 40, 40);
@@ -489,7 +500,7 @@
 static void test_running_programs_first(void **state)
 {
 	struct quota *quota = quota_create("i", 0);
-	struct quota_limit limit = {10, 10, 0};
+	struct quota_limit limit = {.rate = 10, .burst = 10};
 	int64_t wait_ms;
 	int new_programs = 0;
 	int running_programs = 0;
@@ -510,7 +521,7 @@
 static void test_returned_tokens_are_capped(void **state)
 {
 	struct quota *quota = quota_create("i", 0);
-	struct quota_limit limit = {10, 10, 0};
+	struct quota_limit limit = {.rate = 10, .burst = 10};
 	int64_t wait_ms;
 	int taken = 0;
 
@@ -564,6 +575,90 @@
 	cluster_clear(&cluster);
 }
 
+/* Confirms the contact of all instances that are not cut off. */
+static void confirm_contacts(struct cluster *cluster, int64_t now)
+{
+	for (int i = 0; now % GOSSIP_INTERVAL_MS == 0 && i < cluster->n; i++) {
+		if (!cluster->is_cut_off[i])
+			quota_confirm_contact(cluster->instances[i], now);
+	}
+}
+
+/* All learn, at random times in the second after @p now, of a change. */
+static void draw_learn_times(struct cluster *cluster, int64_t *learn_ms,
+			     int64_t now)
+{
+	for (int i = 0; i < cluster->n; i++)
+		learn_ms[i] = now + 1 + (int64_t)rng_below(&cluster->rng, 1000);
+}
+
+/* The instance starts again; its bucket and its views are new. */
+static void restart(struct cluster *cluster, int i, int64_t now)
+{
+	quota_destroy(cluster->instances[i]);
+	cluster->instances[i] = quota_create(instance_ids[i], now);
+	quota_set_instances(cluster->instances[i], (uint32_t)cluster->n);
+	for (int peer = 0; peer < cluster->n; peer++) {
+		if (peer != i)
+			quota_add_instance(cluster->instances[i],
+					   instance_ids[peer]);
+	}
+}
+
+/*
+ * A server that takes 2.5 requests a second, and many times that in demand. The
+ * instance that holds its tokens is cut off or paused, comes back, and is
+ * restarted; the others learn of each at different times.
+ */
+static void check_server_limit(int n, uint64_t seed)
+{
+	const struct slim_limit named = {true, 2.5, 0};
+	const double most = 1.5 * 2.5 * SERVER_WINDOW_MS / 1000.0 + 5;
+	int64_t learn_ms[INSTANCES_MAX] = {0};
+	struct cluster cluster;
+	int home;
+
+	cluster_init(&cluster, n, seed, 0, 0);
+	slim_quota_limit(&named, &cluster.limit);
+	gossip(&cluster, 1);
+	home = find_home(&cluster);
+	assert_true(home >= 0);
+	for (int64_t now = 0; now < RUN_MS; now++) {
+		bool cut = now >= 6000 && now < 9000;
+
+		confirm_contacts(&cluster, now);
+		if (now == 6000 || now == 9000)
+			draw_learn_times(&cluster, learn_ms, now);
+		cluster.is_cut_off[home] = cut;
+		change_views(&cluster, home, cut, learn_ms, now);
+		if (now == 13000)
+			restart(&cluster, home, now);
+		if (rng_unit(&cluster.rng) < 0.06)
+			request(&cluster,
+				(int)rng_below(&cluster.rng, (uint64_t)n),
+				false, now);
+	}
+	assert_in_range(busiest_window(&cluster, SERVER_WINDOW_MS), 1, most);
+	/* The server is also used: it gets two thirds of its limit at least. */
+	assert_true(cluster.admitted_ms->len >
+		    2.5 * 2 / 3 * (RUN_MS - 5000) / 1000.0);
+	cluster_clear(&cluster);
+}
+
+static void test_few_instances_exceed_servers_limit(void **state)
+{
+	(void)state;
+	for (uint64_t seed = 1; seed <= 20; seed++)
+		check_server_limit(11, seed);
+}
+
+static void test_many_instances_exceed_servers_limit(void **state)
+{
+	(void)state;
+	for (uint64_t seed = 1; seed <= 2; seed++)
+		check_server_limit(LARGEST_CLUSTER, seed);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -579,6 +674,8 @@
 		cmocka_unit_test(test_running_programs_first),
 		cmocka_unit_test(test_returned_tokens_are_capped),
 		cmocka_unit_test(test_home_staggers_retries),
+		cmocka_unit_test(test_few_instances_exceed_servers_limit),
+		cmocka_unit_test(test_many_instances_exceed_servers_limit),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/unit/test_server_limit.c
+++ b/test/unit/test_server_limit.c
@@ -24,6 +24,7 @@
 	LEARN_MS = 500,	     /* until an instance must act on a limit */
 	REQUEST_GAP_MS = 20, /* of the load, over both instances */
 	LOAD_MAX = 1000,     /* requests */
+	REFUSAL_MAX_MS = 50,
 };
 
 /* Requests that are sent at a fixed rate and answered in any order. */
@@ -100,18 +101,85 @@
 	int64_t start_ms = clock_boot_ms();
 
 	(void)state;
-	backend_set_limit(fx.services[0], "2.5");
+	fixture_put_server("s2", "shop", SERVICE_2_ADDRESS, "ready");
+	/* Without limits all requests go to it, as the servers are equal. */
+	backend_set_limit(fx.services[1], "2.5");
 	send_load(load, LEARN_MS + WINDOW_MS + LEARN_MS);
 	assert_int_equal(finish_load(load), 0);
-	assert_in_range(busiest_window(fx.services[0], start_ms + LEARN_MS), 0,
+	assert_in_range(busiest_window(fx.services[1], start_ms + LEARN_MS), 0,
 			window_max(2.5));
 	g_free(load);
 }
 
+/* The only server of the service is at its limit: what is beyond it is refused
+ * at once, as not executed and with a time to come back. */
+static void test_excess_over_limit_is_refused_at_once(void **state)
+{
+	struct fixture_response response;
+	guint refused = 0;
+
+	(void)state;
+	backend_set_limit(fx.services[0], "2.5");
+	for (guint i = 0; i < 20; i++) {
+		int64_t sent_ms = clock_boot_ms();
+		guint runs = backend_runs(fx.services[0])->len;
+		char *headers =
+			g_strdup_printf(AUTH_HEADER "Request-Id: o%u\r\n", i);
+
+		fixture_request(&response, (int)i % GATEWAY_COUNT, "/order/1",
+				headers, "x");
+		g_free(headers);
+		if (response.status != 200) {
+			assert_int_equal(response.status, 503);
+			assert_non_null(response.retry_after);
+			assert_int_equal(backend_runs(fx.services[0])->len,
+					 runs);
+			assert_in_range(clock_boot_ms() - sent_ms, 0,
+					REFUSAL_MAX_MS);
+			refused++;
+		}
+		fixture_response_clear(&response);
+	}
+	assert_in_range(refused, 10, 19);
+}
+
+/* Once a server names no limit any more, all instances learn that from the one
+ * that sees it. */
+static void test_ended_limit_is_forgotten_everywhere(void **state)
+{
+	struct load *load = g_new0(struct load, 1);
+	struct fixture_response response;
+
+	(void)state;
+	backend_set_limit(fx.services[0], "0.5");
+	send_load(load, 2 * LEARN_MS);
+	(void)finish_load(load);
+	backend_set_limit(fx.services[0], NULL);
+	fixture_run_until(NULL, 2 * WINDOW_MS / 4 + LEARN_MS);
+	/* The first request that the limit allows brings the news. */
+	fixture_request(&response, 0, "/get/1", AUTH_HEADER "Request-Id: a\r\n",
+			"");
+	assert_int_equal(response.status, 200);
+	fixture_response_clear(&response);
+	fixture_run_until(NULL, LEARN_MS);
+	for (guint i = 0; i < 10; i++) {
+		char *headers =
+			g_strdup_printf(AUTH_HEADER "Request-Id: e%u\r\n", i);
+
+		fixture_request(&response, 1, "/get/1", headers, "");
+		assert_int_equal(response.status, 200);
+		fixture_response_clear(&response);
+		g_free(headers);
+	}
+	g_free(load);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		FIXTURE_TEST(test_server_gets_more_than_it_named),
+		FIXTURE_TEST(test_excess_over_limit_is_refused_at_once),
+		FIXTURE_TEST(test_ended_limit_is_forgotten_everywhere),
 	};
 
 	if (sodium_init() < 0 || freopen(LOG_PATH, "w", stdout) == NULL)
