--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 SERVE = $(wildcard serve/*.c)
 APP = $(wildcard apricotshift/*.c)
 STANDIN = $(filter-out $(FAKES),$(wildcard test/standins/*.c))
-FAKES = test/standins/rowstore.c test/standins/backend.c test/gateway/fixture.c
+FAKES = test/standins/rowstore.c test/standins/backend.c test/soak/proxy.c test/gateway/fixture.c
 SIM = $(wildcard test/sim/*.c)
 obj = $(patsubst %.c,$(B)/obj/%.o,$(1))
 CORE = $(call obj,$(DECIDE) $(TABLE))
@@ -40,7 +40,7 @@
 $(B)/slopes: $(CORE) $(call obj,$(SIM) test/standins/model.c bench/slopes.c)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(B)/soak: $(CORE) $(call obj,$(wildcard test/soak/*.c) $(PLATFORM) $(filter-out test/gateway/%,$(FAKES)) $(filter-out serve/http.c serve/loop.c serve/outbound.c,$(SERVE)))
+$(B)/soak: $(CORE) $(call obj,$(wildcard test/soak/*.c) $(PLATFORM) $(filter-out test/gateway/% test/soak/%,$(FAKES)) $(filter-out serve/http.c serve/loop.c serve/outbound.c,$(SERVE)))
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(B)/unit/%: $(CORE) $(B)/obj/test/unit/%.o $(call obj,apricotshift/trace.c $(PLATFORM) $(FAKES) $(filter-out serve/http.c serve/loop.c serve/outbound.c,$(SERVE)))
--- a/test/standins/rowstore.c
+++ b/test/standins/rowstore.c
@@ -7,6 +7,7 @@
 
 #include "rowstore.h"
 #include "serve/clock.h"
+#include "serve/hdr.h"
 #include "serve/inbound.h"
 
 enum {
@@ -44,6 +45,9 @@
 	struct event_base *base;
 	struct inbound *inbound;
 	struct inbound *alternate; /* the alternate address */
+	char *alternate_address;
+	const char *alternate_from; /* replaced in rows read there, or NULL */
+	const char *alternate_to;
 	bool alternate_blocked;
 	struct event *tick;
 	enum rowstore_mode mode;
@@ -117,12 +121,50 @@
 	return object;
 }
 
+/* Replaces the addresses of servers in a row's value. */
+static void rewrite_value(const struct rowstore *rowstore, json_object *row)
+{
+	json_object *value;
+	GString *text;
+	guchar *bytes;
+	char *encoded;
+	gsize len;
+
+	if (!json_object_object_get_ex(row, "value", &value))
+		return;
+	bytes = g_base64_decode(json_object_get_string(value), &len);
+	text = g_string_new_len((const char *)bytes, (gssize)len);
+	if (g_string_replace(text, rowstore->alternate_from,
+			     rowstore->alternate_to, 0) > 0) {
+		encoded = g_base64_encode((const guchar *)text->str, text->len);
+		json_object_object_add(row, "value",
+				       json_object_new_string(encoded));
+		g_free(encoded);
+	}
+	g_string_free(text, TRUE);
+	g_free(bytes);
+}
+
+/* Whether a request came through the alternate address and its readers see
+ * other rows. */
+static bool sees_other_rows(const struct rowstore *rowstore,
+			    const struct inbound_request *request)
+{
+	return rowstore->alternate_from != NULL &&
+	       g_strcmp0(hdr_get(request->headers, "Host"),
+			 rowstore->alternate_address) == 0;
+}
+
 static void reply(struct rowstore *rowstore, struct inbound_request *request,
 		  int status, json_object *rows, bool more)
 {
 	json_object *root = json_object_new_object();
 	const char *text;
 
+	for (size_t i = 0; rows != NULL && sees_other_rows(rowstore, request) &&
+			   i < json_object_array_length(rows);
+	     i++)
+		rewrite_value(rowstore, json_object_array_get_idx(rows, i));
 	if (rows != NULL)
 		json_object_object_add(root, "rows", rows);
 	json_object_object_add(root, "has_more", json_object_new_boolean(more));
@@ -538,6 +580,7 @@
 		return;
 	inbound_destroy(rowstore->inbound);
 	inbound_destroy(rowstore->alternate);
+	g_free(rowstore->alternate_address);
 	event_free(rowstore->tick);
 	g_queue_clear_full(&rowstore->delayed, g_free);
 	g_ptr_array_free(rowstore->feeds, TRUE);
@@ -550,10 +593,18 @@
 	static const struct inbound_handler handler = {on_alternate_request,
 						       on_disconnect};
 
+	rowstore->alternate_address = g_strdup(address);
 	rowstore->alternate =
 		inbound_create(rowstore->base, address, &handler, rowstore);
 }
 
+void rowstore_set_alternate_host(struct rowstore *rowstore, const char *from,
+				 const char *to)
+{
+	rowstore->alternate_from = from;
+	rowstore->alternate_to = to;
+}
+
 void rowstore_block_alternate(struct rowstore *rowstore, bool blocked)
 {
 	rowstore->alternate_blocked = blocked;
