--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -258,9 +258,9 @@
 	}
 }
 
-bool fleet_has(const struct fleet *fleet, const char *id)
+struct fleet_server *fleet_find(const struct fleet *fleet, const char *id)
 {
-	return g_hash_table_contains(fleet->servers, id);
+	return g_hash_table_lookup(fleet->servers, id);
 }
 
 bool fleet_is_in_service(const struct fleet_server *server)
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -127,8 +127,8 @@
 const char *fleet_unrecorded_version(struct fleet *fleet, const char *service,
 				     int64_t window_ms, int64_t now);
 
-/** Whether there is a listed server of that id. */
-bool fleet_has(const struct fleet *fleet, const char *id);
+/** Returns the listed server of that id, or NULL. */
+struct fleet_server *fleet_find(const struct fleet *fleet, const char *id);
 /** Whether a server accepts new requests. */
 bool fleet_is_in_service(const struct fleet_server *server);
 /** Returns the number of listed servers. */
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -28,6 +28,7 @@
 	x->upstream = NULL;
 	if (x->server != NULL) {
 		fleet_on_end(x->server);
+		links_on_ended(x->shared->links);
 		fleet_unref(x->server);
 	}
 	x->server = NULL;
--- a/serve/exchange.h
+++ b/serve/exchange.h
@@ -13,6 +13,7 @@
 #include "decide/server_limits.h"
 #include "decide/suspect.h"
 #include "inbound.h"
+#include "link_check.h"
 #include "members.h"
 #include "turns.h"
 #include "upstream.h"
@@ -29,6 +30,8 @@
 	struct adm *admission;
 	struct suspects *suspects;
 	struct slim *server_limits;
+	struct links *links;
+	struct lchk *link_check;
 	struct members *members;
 	struct turns *turns;
 	const char *zone;
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -175,6 +175,8 @@
 	} else {
 		x->retry.refusals++;
 	}
+	if (failure == RETRY_NOT_SENT)
+		lchk_on_failed(x->shared->link_check, x->server->id);
 	if (!refused)
 		fleet_on_failure(x->server, now_ms);
 	if (failure == RETRY_INTERRUPTED && !x->response.encoded &&
@@ -268,10 +270,18 @@
 		event_del(x->timer);
 }
 
+static void on_connected(void *arg)
+{
+	struct exch *x = arg;
+
+	lchk_on_connected(x->shared->link_check, x->server->id);
+}
+
 static void on_head(void *arg, const struct upstream_head *head)
 {
 	struct exch *x = arg;
 
+	links_on_received(x->shared->links, clock_boot_ms());
 	wire_parse_response(head, &x->response);
 	x->head_received = true;
 	if (x->response.has_load)
@@ -336,6 +346,7 @@
 {
 	struct exch *x = arg;
 
+	links_on_received(x->shared->links, clock_boot_ms());
 	if (is_unusable(x)) {
 		x->unusable_bytes += len;
 		if (x->unusable_bytes > UNUSABLE_MAX_BYTES)
@@ -392,8 +403,11 @@
 		exch_attempt_failed(x, RETRY_INTERRUPTED, step);
 }
 
-static const struct upstream_handler server_handler = {on_head, on_body,
-						       on_end};
+static const struct upstream_handler server_handler = {.connected =
+							       on_connected,
+						       .head = on_head,
+						       .body = on_body,
+						       .end = on_end};
 
 /* The priority to request from the server; -1 for plain services. */
 static int server_priority(const struct exch *x)
@@ -417,7 +431,8 @@
 	     "\"told_ms\":%" G_GINT64_FORMAT ",\"left_ms\":%" G_GINT64_FORMAT
 	     ",\"route\":%s,\"config\":%" G_GINT64_FORMAT
 	     ",\"version\":%s,\"after_event\":%" G_GINT64_FORMAT
-	     ",\"resumes\":%s,\"limit\":%.2f,\"limit_ms\":%" G_GINT64_FORMAT,
+	     ",\"resumes\":%s,\"limit\":%.2f,\"limit_ms\":%" G_GINT64_FORMAT
+	     ",\"link_lost\":%s,\"silent_ms\":%" G_GINT64_FORMAT,
 	     slog_quote(server->id), slog_quote(exch_account_name(x)),
 	     server->running,
 	     server->reported_running + server->reported_waiting,
@@ -426,7 +441,9 @@
 	     slog_quote(server->version), x->last_event_id,
 	     slog_quote(x->call.resumes ? x->call.resumes : ""),
 	     limit.named ? limit.per_s : -1.0,
-	     limit.named ? now_ms - limit.as_of_ms : -1);
+	     limit.named ? now_ms - limit.as_of_ms : -1,
+	     links_is_lost(x->shared->links, server->id) ? "true" : "false",
+	     links_silent_ms(x->shared->links, now_ms));
 }
 
 void exch_send_to_server(struct exch *x, struct fleet_server *server)
@@ -466,6 +483,7 @@
 	if (!x->streaming)
 		g_byte_array_set_size(x->buffered, 0);
 	fleet_on_send(server, now_ms);
+	links_on_sent(x->shared->links, now_ms);
 	stats_count(STATS_SENT);
 	log_send(x, now_ms, forward.deadline_ms);
 	request.head = wire_build_request(x->request, &forward,
--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -323,7 +323,7 @@
 	struct gw *gw = arg;
 	char *name;
 
-	if (fleet_has(gw->shared.fleet, server))
+	if (fleet_find(gw->shared.fleet, server) != NULL)
 		return false;
 	name = slim_quota_name(server);
 	adm_forget(gw->shared.admission, name);
@@ -436,6 +436,9 @@
 	shared->admission = adm_create(gw->base, shared->quota);
 	shared->suspects = suspect_create();
 	shared->server_limits = slim_create();
+	shared->links = links_create();
+	shared->link_check =
+		lchk_create(gw->base, shared->fleet, shared->links);
 	shared->turns = turns_create(gw->base, shared->store, incarnation,
 				     (uint64_t)settings->cache_kb * 1024);
 	shared->sessions =
@@ -496,6 +499,7 @@
 	relay_destroy(gw->relay);
 	sweeper_destroy(gw->sweeper);
 	members_destroy(shared->members);
+	lchk_destroy(shared->link_check);
 	watcher_destroy(shared->watcher);
 	turns_destroy(shared->turns);
 	fleet_destroy(shared->fleet);
@@ -503,6 +507,7 @@
 	quota_destroy(shared->quota);
 	suspect_destroy(shared->suspects);
 	slim_destroy(shared->server_limits);
+	links_destroy(shared->links);
 	store_destroy(shared->store);
 	upstream_destroy(shared->upstream);
 	g_hash_table_destroy(shared->sessions);
--- a/serve/stats.c
+++ b/serve/stats.c
@@ -29,6 +29,7 @@
 	[STATS_RESUMED] = "resumed_total",
 	[STATS_NOT_EXECUTED] = "not_executed_total",
 	[STATS_SERVER_LIMITED] = "server_limited_total",
+	[STATS_LINKS_LOST] = "links_lost_total",
 	[STATS_FAILED] = "failed_total",
 	[STATS_TIMED_OUT] = "timed_out_total",
 	[STATS_CALLER_LEFT] = "caller_left_total",
--- a/serve/upstream.c
+++ b/serve/upstream.c
@@ -301,6 +301,8 @@
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
+	if (conn->call->handler->connected != NULL)
+		conn->call->handler->connected(conn->call->arg);
 	send_request(conn);
 }
 
--- a/serve/upstream.h
+++ b/serve/upstream.h
@@ -36,6 +36,8 @@
 struct upstream_handler {
 	void (*head)(void *arg, const struct upstream_head *head);
 	void (*body)(void *arg, const char *data, size_t len);
+	/** A new connection was established for the request; or NULL. */
+	void (*connected)(void *arg);
 	/** The last callback; @p cause says what failed, or is "". */
 	void (*end)(void *arg, enum upstream_result result, const char *cause);
 };
--- a/test/gateway/fixture.c
+++ b/test/gateway/fixture.c
@@ -71,8 +71,8 @@
 	response->done = true;
 }
 
-static const struct upstream_handler response_handler = {on_head, on_body,
-							 on_end};
+static const struct upstream_handler response_handler = {
+	.head = on_head, .body = on_body, .end = on_end};
 
 void fixture_response_clear(struct fixture_response *response)
 {
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -267,7 +267,8 @@
 	finish_request(caller, end == UPSTREAM_COMPLETE);
 }
 
-static const struct upstream_handler handler = {on_head, on_body, on_end};
+static const struct upstream_handler handler = {
+	.head = on_head, .body = on_body, .end = on_end};
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
--- a/test/soak/streams.c
+++ b/test/soak/streams.c
@@ -256,7 +256,8 @@
 	end_attempt(caller, how);
 }
 
-static const struct upstream_handler handler = {on_head, on_body, on_end};
+static const struct upstream_handler handler = {
+	.head = on_head, .body = on_body, .end = on_end};
 
 static void send_attempt(struct stream_caller *caller)
 {
