--- a/proto/rows.pb-c.c
+++ b/proto/rows.pb-c.c
@@ -547,6 +547,96 @@
   assert(message->base.descriptor == &rows__lend__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rows__tunnel_open__init
+                     (Rows__TunnelOpen         *message)
+{
+  static const Rows__TunnelOpen init_value = ROWS__TUNNEL_OPEN__INIT;
+  *message = init_value;
+}
+size_t rows__tunnel_open__get_packed_size
+                     (const Rows__TunnelOpen *message)
+{
+  assert(message->base.descriptor == &rows__tunnel_open__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rows__tunnel_open__pack
+                     (const Rows__TunnelOpen *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rows__tunnel_open__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rows__tunnel_open__pack_to_buffer
+                     (const Rows__TunnelOpen *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rows__tunnel_open__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rows__TunnelOpen *
+       rows__tunnel_open__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rows__TunnelOpen *)
+     protobuf_c_message_unpack (&rows__tunnel_open__descriptor,
+                                allocator, len, data);
+}
+void   rows__tunnel_open__free_unpacked
+                     (Rows__TunnelOpen *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rows__tunnel_open__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rows__tunnel_reply__init
+                     (Rows__TunnelReply         *message)
+{
+  static const Rows__TunnelReply init_value = ROWS__TUNNEL_REPLY__INIT;
+  *message = init_value;
+}
+size_t rows__tunnel_reply__get_packed_size
+                     (const Rows__TunnelReply *message)
+{
+  assert(message->base.descriptor == &rows__tunnel_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rows__tunnel_reply__pack
+                     (const Rows__TunnelReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rows__tunnel_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rows__tunnel_reply__pack_to_buffer
+                     (const Rows__TunnelReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rows__tunnel_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rows__TunnelReply *
+       rows__tunnel_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rows__TunnelReply *)
+     protobuf_c_message_unpack (&rows__tunnel_reply__descriptor,
+                                allocator, len, data);
+}
+void   rows__tunnel_reply__free_unpacked
+                     (Rows__TunnelReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rows__tunnel_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rows__datagram__init
                      (Rows__Datagram         *message)
 {
@@ -1174,7 +1264,7 @@
   (ProtobufCMessageInit) rows__rumor__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rows__probe__field_descriptors[9] =
+static const ProtobufCFieldDescriptor rows__probe__field_descriptors[10] =
 {
   {
     "id",
@@ -1284,6 +1374,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tunnel_port",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Rows__Probe, has_tunnel_port),
+    offsetof(Rows__Probe, tunnel_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rows__probe__field_indices_by_name[] = {
   2,   /* field[2] = config_age_ms */
@@ -1294,12 +1396,13 @@
   5,   /* field[5] = marks */
   6,   /* field[6] = reports */
   4,   /* field[4] = rumors */
+  9,   /* field[9] = tunnel_port */
   3,   /* field[3] = wants_answer */
 };
 static const ProtobufCIntRange rows__probe__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor rows__probe__descriptor =
 {
@@ -1309,7 +1412,7 @@
   "Rows__Probe",
   "rows",
   sizeof(Rows__Probe),
-  9,
+  10,
   rows__probe__field_descriptors,
   rows__probe__field_indices_by_name,
   1,  rows__probe__number_ranges,
@@ -1509,6 +1612,82 @@
   (ProtobufCMessageInit) rows__lend__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rows__tunnel_open__field_descriptors[1] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rows__TunnelOpen, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rows__tunnel_open__field_indices_by_name[] = {
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange rows__tunnel_open__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor rows__tunnel_open__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rows.TunnelOpen",
+  "TunnelOpen",
+  "Rows__TunnelOpen",
+  "rows",
+  sizeof(Rows__TunnelOpen),
+  1,
+  rows__tunnel_open__field_descriptors,
+  rows__tunnel_open__field_indices_by_name,
+  1,  rows__tunnel_open__number_ranges,
+  (ProtobufCMessageInit) rows__tunnel_open__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rows__tunnel_reply__field_descriptors[1] =
+{
+  {
+    "connected",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rows__TunnelReply, connected),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rows__tunnel_reply__field_indices_by_name[] = {
+  0,   /* field[0] = connected */
+};
+static const ProtobufCIntRange rows__tunnel_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor rows__tunnel_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rows.TunnelReply",
+  "TunnelReply",
+  "Rows__TunnelReply",
+  "rows",
+  sizeof(Rows__TunnelReply),
+  1,
+  rows__tunnel_reply__field_descriptors,
+  rows__tunnel_reply__field_indices_by_name,
+  1,  rows__tunnel_reply__number_ranges,
+  (ProtobufCMessageInit) rows__tunnel_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor rows__datagram__field_descriptors[3] =
 {
   {
--- a/proto/rows.pb-c.h
+++ b/proto/rows.pb-c.h
@@ -27,6 +27,8 @@
 typedef struct Rows__Probe Rows__Probe;
 typedef struct Rows__Borrow Rows__Borrow;
 typedef struct Rows__Lend Rows__Lend;
+typedef struct Rows__TunnelOpen Rows__TunnelOpen;
+typedef struct Rows__TunnelReply Rows__TunnelReply;
 typedef struct Rows__Datagram Rows__Datagram;
 
 
@@ -255,10 +257,16 @@
    */
   size_t n_limits;
   Rows__ServerLimit **limits;
+  /*
+   * port at which the sender carries connections to backend servers for others;
+   * absent while it reaches none itself
+   */
+  protobuf_c_boolean has_tunnel_port;
+  uint32_t tunnel_port;
 };
 #define ROWS__PROBE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rows__probe__descriptor) \
-    , NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL }
+    , NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
@@ -317,6 +325,36 @@
     , NULL, 0, 0, 0, 0, NULL }
 
 
+/*
+ * First message on a connection to an instance that carries it on to a backend
+ * server; the response follows, and then the bytes of both sides.
+ */
+struct  Rows__TunnelOpen
+{
+  ProtobufCMessage base;
+  char *server;
+};
+#define ROWS__TUNNEL_OPEN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rows__tunnel_open__descriptor) \
+    , NULL }
+
+
+/*
+ * Response.
+ */
+struct  Rows__TunnelReply
+{
+  ProtobufCMessage base;
+  /*
+   * whether the server has been reached
+   */
+  protobuf_c_boolean connected;
+};
+#define ROWS__TUNNEL_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rows__tunnel_reply__descriptor) \
+    , 0 }
+
+
 struct  Rows__Datagram
 {
   ProtobufCMessage base;
@@ -557,6 +595,44 @@
 void   rows__lend__free_unpacked
                      (Rows__Lend *message,
                       ProtobufCAllocator *allocator);
+/* Rows__TunnelOpen methods */
+void   rows__tunnel_open__init
+                     (Rows__TunnelOpen         *message);
+size_t rows__tunnel_open__get_packed_size
+                     (const Rows__TunnelOpen   *message);
+size_t rows__tunnel_open__pack
+                     (const Rows__TunnelOpen   *message,
+                      uint8_t             *out);
+size_t rows__tunnel_open__pack_to_buffer
+                     (const Rows__TunnelOpen   *message,
+                      ProtobufCBuffer     *buffer);
+Rows__TunnelOpen *
+       rows__tunnel_open__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rows__tunnel_open__free_unpacked
+                     (Rows__TunnelOpen *message,
+                      ProtobufCAllocator *allocator);
+/* Rows__TunnelReply methods */
+void   rows__tunnel_reply__init
+                     (Rows__TunnelReply         *message);
+size_t rows__tunnel_reply__get_packed_size
+                     (const Rows__TunnelReply   *message);
+size_t rows__tunnel_reply__pack
+                     (const Rows__TunnelReply   *message,
+                      uint8_t             *out);
+size_t rows__tunnel_reply__pack_to_buffer
+                     (const Rows__TunnelReply   *message,
+                      ProtobufCBuffer     *buffer);
+Rows__TunnelReply *
+       rows__tunnel_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rows__tunnel_reply__free_unpacked
+                     (Rows__TunnelReply *message,
+                      ProtobufCAllocator *allocator);
 /* Rows__Datagram methods */
 void   rows__datagram__init
                      (Rows__Datagram         *message);
@@ -614,6 +690,12 @@
 typedef void (*Rows__Lend_Closure)
                  (const Rows__Lend *message,
                   void *closure_data);
+typedef void (*Rows__TunnelOpen_Closure)
+                 (const Rows__TunnelOpen *message,
+                  void *closure_data);
+typedef void (*Rows__TunnelReply_Closure)
+                 (const Rows__TunnelReply *message,
+                  void *closure_data);
 typedef void (*Rows__Datagram_Closure)
                  (const Rows__Datagram *message,
                   void *closure_data);
@@ -636,6 +718,8 @@
 extern const ProtobufCMessageDescriptor rows__probe__descriptor;
 extern const ProtobufCMessageDescriptor rows__borrow__descriptor;
 extern const ProtobufCMessageDescriptor rows__lend__descriptor;
+extern const ProtobufCMessageDescriptor rows__tunnel_open__descriptor;
+extern const ProtobufCMessageDescriptor rows__tunnel_reply__descriptor;
 extern const ProtobufCMessageDescriptor rows__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -28,7 +28,9 @@
 	x->upstream = NULL;
 	if (x->server != NULL) {
 		fleet_on_end(x->server);
-		links_on_ended(x->shared->links);
+		if (x->tunnel == NULL)
+			links_on_ended(x->shared->links);
+		g_clear_pointer(&x->tunnel, g_free);
 		fleet_unref(x->server);
 	}
 	x->server = NULL;
--- a/serve/exchange_int.h
+++ b/serve/exchange_int.h
@@ -45,6 +45,8 @@
 	GPtrArray *interrupted_servers; /* of these, where it may have run */
 	struct fleet_server *server;
 	struct upstream_call *upstream;
+	char *tunnel;	  /* instance that carries the attempt; NULL: none */
+	bool link_failed; /* a server could not be connected to directly */
 	struct response response;
 	int64_t sent_ms;
 	int64_t first_event_ms;	 /* of the current attempt */
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -11,6 +11,7 @@
 
 enum {
 	CONNECT_TIMEOUT_MS = 250,      /* the handshake takes 1 to 5 ms */
+	TUNNEL_TIMEOUT_MS = 350,       /* longer than the other instance's */
 	RESPONSE_MAX_BYTES = 16777216, /* of a response that is buffered */
 	EVENT_MAX_BYTES = 1048576,     /* of one event of a stream */
 	UNUSABLE_MAX_BYTES = 65536,    /* read of a response that is not used */
@@ -155,37 +156,28 @@
 		exch_send(x);
 }
 
-void exch_attempt_failed(struct exch *x, enum retry_failure failure,
-			 const char *cause)
+static void log_no_answer(const struct exch *x, enum retry_failure failure,
+			  const char *cause)
+{
+	slog("no_answer", x->call.id,
+	     "\"server\":%s,\"tunnel\":%s,\"cause\":\"%s\",\"ran\":\"%s\","
+	     "\"ms\":%" G_GINT64_FORMAT,
+	     slog_quote(x->server->id), slog_quote(x->tunnel ? x->tunnel : ""),
+	     cause, failure == RETRY_INTERRUPTED ? "unknown" : "no",
+	     clock_boot_ms() - x->sent_ms);
+}
+
+/* Ends an attempt and sends the request again, or answers that it failed. */
+static void resend_or_fail(struct exch *x, enum retry_failure failure,
+			   const char *cause)
 {
 	int64_t now_ms = clock_boot_ms();
-	bool refused = failure == RETRY_NOT_EXECUTED;
 	enum retry_action action;
 
-	slog("no_answer", x->call.id,
-	     "\"server\":%s,\"cause\":\"%s\",\"ran\":\"%s\",\"ms\":"
-	     "%" G_GINT64_FORMAT,
-	     slog_quote(x->server->id), cause,
-	     failure == RETRY_INTERRUPTED ? "unknown" : "no",
-	     now_ms - x->sent_ms);
-	if (failure == RETRY_INTERRUPTED) {
+	if (failure == RETRY_INTERRUPTED)
 		x->retry.possible_runs++;
-		g_ptr_array_add(x->interrupted_servers,
-				g_strdup(x->server->id));
-	} else {
+	else
 		x->retry.refusals++;
-	}
-	if (failure == RETRY_NOT_SENT)
-		lchk_on_failed(x->shared->link_check, x->server->id);
-	if (!refused)
-		fleet_on_failure(x->server, now_ms);
-	if (failure == RETRY_INTERRUPTED && !x->response.encoded &&
-	    !x->head_received &&
-	    suspect_add(x->shared->suspects, x->fingerprint, x->server->id,
-			now_ms))
-		members_report_suspect(x->shared->members, x->fingerprint,
-				       x->server->id);
-	g_ptr_array_add(x->tried_servers, g_strdup(x->server->id));
 	exch_cancel_upstream(x);
 	x->head_received = false;
 	x->retry.remaining_ms = x->deadline_at_ms - now_ms;
@@ -204,6 +196,54 @@
 	}
 }
 
+void exch_attempt_failed(struct exch *x, enum retry_failure failure,
+			 const char *cause)
+{
+	int64_t now_ms = clock_boot_ms();
+	bool refused = failure == RETRY_NOT_EXECUTED;
+
+	log_no_answer(x, failure, cause);
+	if (failure == RETRY_INTERRUPTED)
+		g_ptr_array_add(x->interrupted_servers,
+				g_strdup(x->server->id));
+	if (!refused)
+		fleet_on_failure(x->server, now_ms);
+	if (failure == RETRY_INTERRUPTED && !x->response.encoded &&
+	    !x->head_received &&
+	    suspect_add(x->shared->suspects, x->fingerprint, x->server->id,
+			now_ms))
+		members_report_suspect(x->shared->members, x->fingerprint,
+				       x->server->id);
+	g_ptr_array_add(x->tried_servers, g_strdup(x->server->id));
+	resend_or_fail(x, failure, cause);
+}
+
+/* This instance did not connect to the server, which may be reached through
+ * another one. */
+static void link_failed(struct exch *x, const char *cause)
+{
+	struct members_tunnel tunnel;
+
+	x->link_failed = true;
+	lchk_on_failed(x->shared->link_check, x->server->id);
+	if (members_find_tunnel(x->shared->members, &tunnel)) {
+		log_no_answer(x, RETRY_NOT_SENT, cause);
+		fleet_on_failure(x->server, clock_boot_ms());
+		resend_or_fail(x, RETRY_NOT_SENT, cause);
+	} else {
+		exch_attempt_failed(x, RETRY_NOT_SENT, cause);
+	}
+}
+
+/* The instance that was to carry the connection did not; the server has nothing
+ * to do with that. */
+static void tunnel_failed(struct exch *x, const char *cause)
+{
+	log_no_answer(x, RETRY_NOT_SENT, cause);
+	members_report_no_tunnel(x->shared->members, x->tunnel);
+	resend_or_fail(x, RETRY_NOT_SENT, cause);
+}
+
 /* Ties the stream to the version of the server that sent its first event. While
  * there are others, no caller gets an event before every instance can learn the
  * version, or at least none can mistake it. */
@@ -270,18 +310,25 @@
 		event_del(x->timer);
 }
 
+static void note_received(struct exch *x)
+{
+	if (x->tunnel == NULL)
+		links_on_received(x->shared->links, clock_boot_ms());
+}
+
 static void on_connected(void *arg)
 {
 	struct exch *x = arg;
 
-	lchk_on_connected(x->shared->link_check, x->server->id);
+	if (x->tunnel == NULL)
+		lchk_on_connected(x->shared->link_check, x->server->id);
 }
 
 static void on_head(void *arg, const struct upstream_head *head)
 {
 	struct exch *x = arg;
 
-	links_on_received(x->shared->links, clock_boot_ms());
+	note_received(x);
 	wire_parse_response(head, &x->response);
 	x->head_received = true;
 	if (x->response.has_load)
@@ -346,7 +393,7 @@
 {
 	struct exch *x = arg;
 
-	links_on_received(x->shared->links, clock_boot_ms());
+	note_received(x);
 	if (is_unusable(x)) {
 		x->unusable_bytes += len;
 		if (x->unusable_bytes > UNUSABLE_MAX_BYTES)
@@ -397,6 +444,10 @@
 		exch_attempt_failed(x, RETRY_INTERRUPTED, "event cut off");
 	else if (result == UPSTREAM_COMPLETE)
 		on_complete_response(x);
+	else if (result == UPSTREAM_NO_TUNNEL)
+		tunnel_failed(x, step);
+	else if (result == UPSTREAM_NOT_SENT && x->tunnel == NULL)
+		link_failed(x, step);
 	else if (result == UPSTREAM_NOT_SENT)
 		exch_attempt_failed(x, RETRY_NOT_SENT, step);
 	else
@@ -432,7 +483,7 @@
 	     ",\"route\":%s,\"config\":%" G_GINT64_FORMAT
 	     ",\"version\":%s,\"after_event\":%" G_GINT64_FORMAT
 	     ",\"resumes\":%s,\"limit\":%.2f,\"limit_ms\":%" G_GINT64_FORMAT
-	     ",\"link_lost\":%s,\"silent_ms\":%" G_GINT64_FORMAT,
+	     ",\"tunnel\":%s,\"link_lost\":%s,\"silent_ms\":%" G_GINT64_FORMAT,
 	     slog_quote(server->id), slog_quote(exch_account_name(x)),
 	     server->running,
 	     server->reported_running + server->reported_waiting,
@@ -442,10 +493,29 @@
 	     slog_quote(x->call.resumes ? x->call.resumes : ""),
 	     limit.named ? limit.per_s : -1.0,
 	     limit.named ? now_ms - limit.as_of_ms : -1,
+	     slog_quote(x->tunnel ? x->tunnel : ""),
 	     links_is_lost(x->shared->links, server->id) ? "true" : "false",
 	     links_silent_ms(x->shared->links, now_ms));
 }
 
+/* Sends the request through another instance if the link to its server is lost;
+ * @p tunnel keeps the strings that @p request refers to. */
+static void choose_path(struct exch *x, struct upstream_request *request,
+			struct members_tunnel *tunnel, int64_t now_ms)
+{
+	if ((x->link_failed ||
+	     links_is_lost(x->shared->links, x->server->id)) &&
+	    members_find_tunnel(x->shared->members, tunnel)) {
+		x->tunnel = g_strdup(tunnel->id);
+		request->tunnel = tunnel->address;
+		request->server = x->server->id;
+		request->connect_timeout_ms = TUNNEL_TIMEOUT_MS;
+		stats_count(STATS_SENT_BY_TUNNEL);
+		return;
+	}
+	links_on_sent(x->shared->links, now_ms);
+}
+
 void exch_send_to_server(struct exch *x, struct fleet_server *server)
 {
 	int64_t now_ms = clock_boot_ms();
@@ -464,6 +534,7 @@
 		.id = x->call.id,
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 	};
+	struct members_tunnel tunnel;
 
 	x->server = fleet_ref(server);
 	x->sent_ms = now_ms;
@@ -483,7 +554,7 @@
 	if (!x->streaming)
 		g_byte_array_set_size(x->buffered, 0);
 	fleet_on_send(server, now_ms);
-	links_on_sent(x->shared->links, now_ms);
+	choose_path(x, &request, &tunnel, now_ms);
 	stats_count(STATS_SENT);
 	log_send(x, now_ms, forward.deadline_ms);
 	request.head = wire_build_request(x->request, &forward,
--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -14,6 +14,7 @@
 #include "slog.h"
 #include "stats.h"
 #include "sweeper.h"
+#include "tunnel.h"
 
 enum {
 	TICK_MS = 200,	   /* log flushes and steps of a shutdown */
@@ -39,6 +40,7 @@
 	FIELD(ready, SETTINGS_ADDRESS, true, 0, 0, 0),
 	FIELD(peers, SETTINGS_ADDRESS, true, 0, 0, 0),
 	FIELD(relay, SETTINGS_ADDRESS, false, 0, 0, 0),
+	FIELD(tunnel, SETTINGS_ADDRESS, false, 0, 0, 0),
 	FIELD(metrics, SETTINGS_ADDRESS, false, 0, 0, 0),
 	FIELD(store, SETTINGS_ADDRESS, true, 0, 0, 0),
 	FIELD(grace_s, SETTINGS_TRUNCATED, false, 8, 1, 3600),
@@ -58,6 +60,7 @@
 	struct inbound *ready;
 	struct inbound *metrics;
 	struct relay *relay;
+	struct tunnels *tunnels;
 	struct sweeper *sweeper;
 	struct event *signals[3];
 	struct event *tick_timer;
@@ -216,6 +219,15 @@
 	adm_on_lend(gw->shared.admission, account, granted, wait_ms, serial);
 }
 
+/* Whether connections may be carried for other instances. */
+static bool reaches_servers(void *arg)
+{
+	const struct gw *gw = arg;
+
+	return gw->tunnels != NULL && gw->shutdown_started_ms == 0 &&
+	       !links_all_lost(gw->shared.links);
+}
+
 static const char *get_relay(void *arg)
 {
 	struct gw *gw = arg;
@@ -289,6 +301,10 @@
 	inbound_stop_listening(gw->callers);
 	inbound_close_idle(gw->callers);
 	inbound_count(gw->callers, &conns, &requests);
+	if (gw->tunnels != NULL) {
+		tunnels_stop_listening(gw->tunnels);
+		conns += tunnels_count(gw->tunnels);
+	}
 	if (conns == 0 || elapsed_ms > grace_ms - EXIT_MARGIN_MS) {
 		gw->stopped = true;
 		event_base_loopbreak(gw->base);
@@ -383,6 +399,12 @@
 	if (gw->settings->relay != NULL && gw->relay == NULL)
 		fprintf(stderr, "apricotshift: listen on %s: %s\n",
 			gw->settings->relay, strerror(errno));
+	if (gw->settings->tunnel != NULL)
+		gw->tunnels = tunnels_create(gw->base, gw->settings->tunnel,
+					     gw->shared.fleet);
+	if (gw->settings->tunnel != NULL && gw->tunnels == NULL)
+		fprintf(stderr, "apricotshift: listen on %s: %s\n",
+			gw->settings->tunnel, strerror(errno));
 	return gw->callers != NULL && gw->ready != NULL;
 }
 
@@ -411,6 +433,8 @@
 		.zone = settings->zone,
 		.address = settings->peers,
 		.relay = settings->relay,
+		.tunnel = settings->tunnel,
+		.reaches_servers = reaches_servers,
 		.config_age_ms = config_age_ms,
 		.find_limit = find_limit,
 		.on_lend = on_lend,
@@ -497,6 +521,7 @@
 	inbound_destroy(gw->ready);
 	inbound_destroy(gw->metrics);
 	relay_destroy(gw->relay);
+	tunnels_destroy(gw->tunnels);
 	sweeper_destroy(gw->sweeper);
 	members_destroy(shared->members);
 	lchk_destroy(shared->link_check);
--- a/serve/gateway.h
+++ b/serve/gateway.h
@@ -18,6 +18,7 @@
 	char *callers; /**< HOST:PORT for callers */
 	char *ready;   /**< HOST:PORT for the load balancer's health check */
 	char *peers;   /**< HOST:PORT for datagrams from other instances */
+	char *tunnel;  /**< HOST:PORT to carry others' connections, or NULL */
 	char *relay;   /**< HOST:PORT to relay others' store calls, or NULL */
 	char *metrics; /**< HOST:PORT for metrics, or NULL */
 	char *store;   /**< HOST:PORT of the platform's store */
--- a/serve/members.c
+++ b/serve/members.c
@@ -19,6 +19,7 @@
 	GONE_MISSED_RENEWALS = 3,
 	DEAD_ROW_TTL_MS = 60000, /* rows of members that are gone */
 	FRESH_CONFIG_MAX_AGE_MS = 3000,
+	TUNNEL_RETRY_MS = 1000,	   /* after an instance carried nothing */
 	RELAY_SILENT_MAX_MS = 800, /* three of its datagrams may get lost */
 	/* The configuration is 1 to 2 s old on an instance that reaches the
 	 * store. */
@@ -57,6 +58,7 @@
 	member->id = g_strdup(id);
 	member->hash = rng_hash(id);
 	member->row_changed_ms = clock_boot_ms();
+	member->tunnel_failed_ms = G_MININT32;
 	g_hash_table_insert(members->by_id, member->id, member);
 	live_add(members->live, id);
 	quota_add_instance(members->config.quota, id);
@@ -391,6 +393,19 @@
 	return timer;
 }
 
+/* Returns the port of HOST:PORT, or 0. */
+static uint16_t parse_port(const char *address)
+{
+	struct sockaddr_storage addr;
+	int len = sizeof(addr);
+
+	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&addr,
+				       &len) != 0 ||
+	    addr.ss_family != AF_INET)
+		return 0;
+	return ntohs(((struct sockaddr_in *)&addr)->sin_port);
+}
+
 struct members *members_create(const struct members_config *config)
 {
 	struct members *members = g_new0(struct members, 1);
@@ -403,6 +418,9 @@
 	}
 	members->live = live_create(config->id, config->epoch, &io);
 	members->hash = rng_hash(config->id);
+	members->rng.state = members->hash ^ config->epoch;
+	if (config->tunnel != NULL)
+		members->tunnel_port = parse_port(config->tunnel);
 	members->count = 1;
 	members->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       member_free);
@@ -521,6 +539,48 @@
 	return best ? best->relay : NULL;
 }
 
+static bool may_carry(const struct members *members,
+		      const struct member *member, int64_t now_ms)
+{
+	return member->tunnel_port != 0 &&
+	       !live_is_leaving(members->live, member->id) &&
+	       now_ms - member->heard_ms <= RELAY_SILENT_MAX_MS &&
+	       now_ms - member->tunnel_failed_ms > TUNNEL_RETRY_MS;
+}
+
+bool members_find_tunnel(struct members *members, struct members_tunnel *tunnel)
+{
+	int64_t now_ms = clock_boot_ms();
+	const struct member *chosen = NULL;
+	char host[INET_ADDRSTRLEN];
+	uint64_t seen = 0;
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, members->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		if (may_carry(members, p, now_ms) &&
+		    rng_below(&members->rng, ++seen) == 0)
+			chosen = p;
+	}
+	if (chosen == NULL || evutil_inet_ntop(AF_INET, &chosen->addr.sin_addr,
+					       host, sizeof(host)) == NULL)
+		return false;
+	g_strlcpy(tunnel->id, chosen->id, sizeof(tunnel->id));
+	g_snprintf(tunnel->address, sizeof(tunnel->address), "%s:%u", host,
+		   chosen->tunnel_port);
+	return true;
+}
+
+void members_report_no_tunnel(struct members *members, const char *id)
+{
+	struct member *member = g_hash_table_lookup(members->by_id, id);
+
+	if (member != NULL)
+		member->tunnel_failed_ms = clock_boot_ms();
+	live_doubt(members->live, id, clock_boot_ms());
+}
+
 void members_report_unanswered(struct members *members, const char *instance)
 {
 	live_doubt(members->live, instance, clock_boot_ms());
--- a/serve/members.h
+++ b/serve/members.h
@@ -30,9 +30,13 @@
 	const char *zone;
 	const char *address; /**< HOST:PORT for datagrams */
 	const char *relay;   /**< HOST:PORT for calls to the store, or NULL */
-	uint64_t epoch;	     /**< higher than that of its earlier starts */
+	/** HOST:PORT at which connections are carried for others, or NULL. */
+	const char *tunnel;
+	uint64_t epoch; /**< higher than that of its earlier starts */
 	/** Returns the age of the configuration. */
 	int64_t (*config_age_ms)(void *arg);
+	/** Whether this instance reaches the backend servers. */
+	bool (*reaches_servers)(void *arg);
 	/** The limit of that name in the quota, of an account or a server;
 	 * returns false if there is none. */
 	bool (*find_limit)(void *arg, const char *name,
@@ -56,6 +60,18 @@
 bool members_have_fresh_config(const struct members *members);
 /** The relay address of an instance that reaches the store, or NULL. */
 const char *members_find_relay(const struct members *members);
+/** An instance that carries connections to backend servers for others. */
+struct members_tunnel {
+	char id[64];
+	char address[32]; /**< HOST:PORT */
+};
+
+/** Selects one of the instances that reach the servers, a different one each
+ * time; returns false if there is none. */
+bool members_find_tunnel(struct members *members,
+			 struct members_tunnel *tunnel);
+/** The instance @p id did not carry a connection. */
+void members_report_no_tunnel(struct members *members, const char *id);
 /** Whether rendezvous hashing assigns @p task to this instance. While the views
  * of the instances differ, two may be responsible, or none. */
 bool members_is_responsible(const struct members *members, const char *task);
--- a/serve/members_int.h
+++ b/serve/members_int.h
@@ -12,6 +12,7 @@
 #include <netinet/in.h>
 
 #include "decide/live.h"
+#include "decide/rng.h"
 #include "members.h"
 #include "proto/rows.pb-c.h"
 
@@ -25,7 +26,9 @@
 	int64_t row_changed_ms; /**< when that version was first seen */
 	int64_t heard_ms;	/**< last datagram; 0: none */
 	uint32_t config_age_ms;
-	bool gone; /**< sends no more requests */
+	uint16_t tunnel_port;	  /**< 0: it does not reach the servers */
+	int64_t tunnel_failed_ms; /**< when it last did not answer there */
+	bool gone;		  /**< sends no more requests */
 };
 
 /** What a report to the other instances is about. */
@@ -59,6 +62,8 @@
 	int64_t read_ms; /**< when the rows were last read */
 	uint32_t reads;	 /**< complete reads of the rows */
 	bool leaving;
+	uint16_t tunnel_port; /**< of this instance; 0: none */
+	struct rng rng;	      /**< for the choice of a tunnel */
 };
 
 /** Returns the member of that id, which it adds if there is room; else NULL. */
--- a/serve/members_net.c
+++ b/serve/members_net.c
@@ -122,6 +122,10 @@
 		members->config.config_age_ms(members->config.arg), 0,
 		CONFIG_AGE_MAX_MS);
 	probe.wants_answer = wants_answer;
+	probe.tunnel_port = members->tunnel_port;
+	probe.has_tunnel_port =
+		members->tunnel_port != 0 && !members->leaving &&
+		members->config.reaches_servers(members->config.arg);
 	probe.n_rumors = rumors.count;
 	probe.rumors = rumors.pointers;
 	members_news_pack(members, &probe);
@@ -221,6 +225,8 @@
 	member->addr = *from;
 	member->heard_ms = now_ms;
 	member->config_age_ms = probe->config_age_ms;
+	member->tunnel_port =
+		probe->has_tunnel_port ? (uint16_t)probe->tunnel_port : 0;
 	if (!known)
 		introduce(members, probe, now_ms);
 	live_on_heard(members->live, probe->id, probe->epoch, now_ms);
--- /dev/null
+++ b/serve/tunnel.c
@@ -0,0 +1,361 @@
+/** @file tunnel.c @brief Carries connections to servers for other instances. */
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include "clock.h"
+#include "proto/message.h"
+#include "proto/rows.pb-c.h"
+#include "slog.h"
+#include "stats.h"
+#include "tunnel.h"
+
+enum {
+	MESSAGE_MAX_BYTES = 512,
+	OPEN_TIMEOUT_MS = 500,	  /* until the first message is complete */
+	CONNECT_TIMEOUT_MS = 250, /* as for connections of our own */
+	TUNNELS_MAX = 512,	  /* each needs two descriptors */
+	USER_TIMEOUT_MS = 5000,	  /* limit for unacknowledged data */
+	END_TIMEOUT_MS = 5000, /* to pass on what a side sent before its end */
+	/* A side that does not read stops the other one. */
+	BUFFER_MAX_BYTES = 131072,
+};
+
+struct tunnels {
+	struct event_base *base;
+	struct evconnlistener *listener;
+	const struct fleet *fleet;
+	GHashTable *all; /* set of struct tunnel */
+};
+
+struct tunnel {
+	struct tunnels *tunnels;
+	struct bufferevent *instance; /* the side that asked */
+	struct bufferevent *server;   /* NULL until it is asked for */
+	struct event *timer;	      /* until the server is connected */
+	char *server_id;
+	bool connected;
+	bool ending; /* one side has ended; the other gets what is left */
+};
+
+/* Returns the message at the start of @p in, or NULL; @p invalid: it can't be
+ * one. g_free() the result. */
+static uint8_t *read_message(struct evbuffer *in, size_t *len, bool *invalid)
+{
+	uint16_t prefix;
+	uint8_t *message;
+
+	*invalid = false;
+	if (evbuffer_copyout(in, &prefix, sizeof(prefix)) < 2)
+		return NULL;
+	*len = ntohs(prefix);
+	*invalid = *len > MESSAGE_MAX_BYTES;
+	if (*invalid || evbuffer_get_length(in) < sizeof(prefix) + *len)
+		return NULL;
+	message = g_malloc(*len + 1);
+	evbuffer_drain(in, sizeof(prefix));
+	evbuffer_remove(in, message, *len);
+	return message;
+}
+
+static void write_message(struct evbuffer *out, const ProtobufCMessage *message)
+{
+	size_t len;
+	uint8_t *packed = msg_pack(message, &len);
+	uint16_t prefix = htons((uint16_t)len);
+
+	evbuffer_add(out, &prefix, sizeof(prefix));
+	evbuffer_add(out, packed, len);
+	g_free(packed);
+}
+
+void tunnel_write_open(struct evbuffer *out, const char *server)
+{
+	Rows__TunnelOpen message = ROWS__TUNNEL_OPEN__INIT;
+
+	message.server = (char *)server;
+	write_message(out, &message.base);
+}
+
+enum tunnel_reply tunnel_read_reply(struct evbuffer *in)
+{
+	enum tunnel_reply reply = TUNNEL_REPLY_INVALID;
+	Rows__TunnelReply *message;
+	bool invalid;
+	size_t len;
+	uint8_t *packed = read_message(in, &len, &invalid);
+
+	if (packed == NULL)
+		return invalid ? TUNNEL_REPLY_INVALID : TUNNEL_REPLY_INCOMPLETE;
+	message = rows__tunnel_reply__unpack(NULL, len, packed);
+	if (message != NULL)
+		reply = message->connected ? TUNNEL_CONNECTED
+					   : TUNNEL_NOT_CONNECTED;
+	rows__tunnel_reply__free_unpacked(message, NULL);
+	g_free(packed);
+	return reply;
+}
+
+static void tunnel_free(struct tunnel *tunnel)
+{
+	g_hash_table_remove(tunnel->tunnels->all, tunnel);
+	event_free(tunnel->timer);
+	bufferevent_free(tunnel->instance);
+	if (tunnel->server != NULL)
+		bufferevent_free(tunnel->server);
+	g_free(tunnel->server_id);
+	g_free(tunnel);
+}
+
+static void set_timer(struct tunnel *tunnel, int64_t ms)
+{
+	struct timeval tv = clock_timeval(ms);
+
+	event_add(tunnel->timer, &tv);
+}
+
+static struct bufferevent *other_side(const struct tunnel *tunnel,
+				      const struct bufferevent *side)
+{
+	return side == tunnel->server ? tunnel->instance : tunnel->server;
+}
+
+/* Passes on what one side has sent. */
+static void on_bytes(struct bufferevent *from, void *arg)
+{
+	struct tunnel *tunnel = arg;
+	struct bufferevent *to = other_side(tunnel, from);
+
+	if (to == NULL || !tunnel->connected)
+		return;
+	bufferevent_write_buffer(to, bufferevent_get_input(from));
+	if (evbuffer_get_length(bufferevent_get_output(to)) > BUFFER_MAX_BYTES)
+		bufferevent_disable(from, EV_READ);
+}
+
+/* A side has received all that was written to it. */
+static void on_drained(struct bufferevent *side, void *arg)
+{
+	struct tunnel *tunnel = arg;
+	struct bufferevent *from = other_side(tunnel, side);
+
+	if (tunnel->ending)
+		tunnel_free(tunnel);
+	else if (from != NULL && tunnel->connected)
+		bufferevent_enable(from, EV_READ);
+}
+
+/* Closes a connection by a reset: what it carried may be incomplete. */
+static void reset(struct bufferevent *side)
+{
+	struct linger linger = {.l_onoff = 1};
+
+	(void)setsockopt(bufferevent_getfd(side), SOL_SOCKET, SO_LINGER,
+			 &linger, sizeof(linger));
+}
+
+/* Both options only speed things up, so errors are ignored. */
+static void set_options(evutil_socket_t fd)
+{
+	unsigned int ms = USER_TIMEOUT_MS;
+	int one = 1;
+
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
+/* Tells the instance that its server was not reached, and ends. */
+static void refuse(struct tunnel *tunnel)
+{
+	Rows__TunnelReply reply = ROWS__TUNNEL_REPLY__INIT;
+
+	slog("tunnel", NULL, "\"server\":%s,\"connected\":false",
+	     slog_quote(tunnel->server_id));
+	reply.connected = false;
+	tunnel->ending = true;
+	set_timer(tunnel, END_TIMEOUT_MS);
+	write_message(bufferevent_get_output(tunnel->instance), &reply.base);
+}
+
+static void on_server_connected(struct tunnel *tunnel)
+{
+	Rows__TunnelReply reply = ROWS__TUNNEL_REPLY__INIT;
+
+	event_del(tunnel->timer);
+	set_options(bufferevent_getfd(tunnel->server));
+	stats_count(STATS_TUNNELS);
+	tunnel->connected = true;
+	reply.connected = true;
+	write_message(bufferevent_get_output(tunnel->instance), &reply.base);
+	bufferevent_enable(tunnel->server, EV_READ | EV_WRITE);
+	bufferevent_enable(tunnel->instance, EV_READ | EV_WRITE);
+	on_bytes(tunnel->instance, tunnel);
+}
+
+static void on_event(struct bufferevent *side, short what, void *arg)
+{
+	struct tunnel *tunnel = arg;
+	struct bufferevent *to = other_side(tunnel, side);
+
+	if (side == tunnel->server && !tunnel->connected) {
+		if (tunnel->ending)
+			return;
+		if (what & BEV_EVENT_CONNECTED)
+			on_server_connected(tunnel);
+		else
+			refuse(tunnel);
+		return;
+	}
+	if (what & BEV_EVENT_EOF && tunnel->connected && !tunnel->ending &&
+	    side == tunnel->server) {
+		on_bytes(side, tunnel);
+		tunnel->ending = true;
+		set_timer(tunnel, END_TIMEOUT_MS);
+		if (evbuffer_get_length(bufferevent_get_output(to)) > 0)
+			return;
+	} else if (to != NULL && what & BEV_EVENT_ERROR) {
+		reset(to);
+	}
+	tunnel_free(tunnel);
+}
+
+static void on_timeout(evutil_socket_t fd, short what, void *arg)
+{
+	struct tunnel *tunnel = arg;
+
+	(void)fd;
+	(void)what;
+	if (tunnel->server == NULL || tunnel->ending)
+		tunnel_free(tunnel);
+	else
+		refuse(tunnel);
+}
+
+static void connect_server(struct tunnel *tunnel, const char *address)
+{
+	struct sockaddr_storage addr;
+	int len = sizeof(addr);
+
+	tunnel->server = bufferevent_socket_new(
+		tunnel->tunnels->base, -1,
+		BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	bufferevent_setcb(tunnel->server, on_bytes, on_drained, on_event,
+			  tunnel);
+	set_timer(tunnel, CONNECT_TIMEOUT_MS);
+	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&addr,
+				       &len) != 0 ||
+	    bufferevent_socket_connect(tunnel->server, (struct sockaddr *)&addr,
+				       len) != 0)
+		refuse(tunnel);
+}
+
+/* Reads which server the instance asks for. */
+static void on_open(struct bufferevent *bev, void *arg)
+{
+	struct tunnel *tunnel = arg;
+	const struct fleet_server *server;
+	Rows__TunnelOpen *message;
+	bool invalid;
+	size_t len;
+	uint8_t *packed;
+
+	if (tunnel->server_id != NULL) {
+		on_bytes(bev, tunnel);
+		return;
+	}
+	packed = read_message(bufferevent_get_input(bev), &len, &invalid);
+	if (packed == NULL && !invalid)
+		return;
+	message = packed ? rows__tunnel_open__unpack(NULL, len, packed) : NULL;
+	g_free(packed);
+	if (message == NULL) {
+		slog("peer_fault", NULL, "\"step\":\"tunnel\"");
+		tunnel_free(tunnel);
+		return;
+	}
+	tunnel->server_id = g_strdup(message->server);
+	rows__tunnel_open__free_unpacked(message, NULL);
+	server = fleet_find(tunnel->tunnels->fleet, tunnel->server_id);
+	if (server != NULL)
+		connect_server(tunnel, server->address);
+	else
+		refuse(tunnel);
+}
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *addr, int len, void *arg)
+{
+	struct tunnels *tunnels = arg;
+	struct tunnel *tunnel;
+
+	(void)listener;
+	(void)addr;
+	(void)len;
+	if (g_hash_table_size(tunnels->all) >= TUNNELS_MAX) {
+		evutil_closesocket(fd);
+		return;
+	}
+	set_options(fd);
+	tunnel = g_new0(struct tunnel, 1);
+	tunnel->tunnels = tunnels;
+	tunnel->timer = evtimer_new(tunnels->base, on_timeout, tunnel);
+	tunnel->instance = bufferevent_socket_new(
+		tunnels->base, fd,
+		BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	bufferevent_setcb(tunnel->instance, on_open, on_drained, on_event,
+			  tunnel);
+	bufferevent_enable(tunnel->instance, EV_READ | EV_WRITE);
+	set_timer(tunnel, OPEN_TIMEOUT_MS);
+	g_hash_table_add(tunnels->all, tunnel);
+}
+
+struct tunnels *tunnels_create(struct event_base *base, const char *address,
+			       const struct fleet *fleet)
+{
+	struct tunnels *tunnels = g_new0(struct tunnels, 1);
+	struct sockaddr_storage addr;
+	int len = sizeof(addr);
+
+	tunnels->base = base;
+	tunnels->fleet = fleet;
+	tunnels->all = g_hash_table_new(g_direct_hash, g_direct_equal);
+	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&addr,
+				       &len) == 0)
+		tunnels->listener = evconnlistener_new_bind(
+			base, on_accept, tunnels,
+			LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE, -1,
+			(struct sockaddr *)&addr, len);
+	if (tunnels->listener != NULL)
+		return tunnels;
+	tunnels_destroy(tunnels);
+	return NULL;
+}
+
+void tunnels_destroy(struct tunnels *tunnels)
+{
+	GHashTableIter it;
+	gpointer tunnel;
+
+	if (tunnels == NULL)
+		return;
+	tunnels_stop_listening(tunnels);
+	while (g_hash_table_iter_init(&it, tunnels->all),
+	       g_hash_table_iter_next(&it, &tunnel, NULL))
+		tunnel_free(tunnel);
+	g_hash_table_destroy(tunnels->all);
+	g_free(tunnels);
+}
+
+void tunnels_stop_listening(struct tunnels *tunnels)
+{
+	g_clear_pointer(&tunnels->listener, evconnlistener_free);
+}
+
+guint tunnels_count(const struct tunnels *tunnels)
+{
+	return g_hash_table_size(tunnels->all);
+}
--- /dev/null
+++ b/serve/tunnel.h
@@ -0,0 +1,46 @@
+/**
+ * @file tunnel.h
+ * @brief Carries connections to backend servers for other instances.
+ *
+ * An instance that has lost its links to the servers reaches them through one
+ * that has not. The instance that carries a connection connects to a server of
+ * its own list, tells whether that worked, and copies the bytes of both sides;
+ * it neither parses nor repeats anything. If one side ends, so does the other.
+ *
+ * Messages: two bytes of length in network order, and a message of rows.proto.
+ */
+#ifndef APS_TUNNEL_H
+#define APS_TUNNEL_H
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <glib.h>
+
+#include "decide/fleet.h"
+
+/** The listening socket, and the connections that are carried. */
+struct tunnels;
+
+/** @return NULL if @p address can't be bound, with errno set */
+struct tunnels *tunnels_create(struct event_base *base, const char *address,
+			       const struct fleet *fleet);
+void tunnels_destroy(struct tunnels *tunnels);
+/** Accepts no further connections. */
+void tunnels_stop_listening(struct tunnels *tunnels);
+/** Returns the number of connections that are carried. */
+guint tunnels_count(const struct tunnels *tunnels);
+
+/** What tunnel_read_reply() found. */
+enum tunnel_reply {
+	TUNNEL_REPLY_INCOMPLETE,
+	TUNNEL_CONNECTED,
+	TUNNEL_NOT_CONNECTED, /**< the server was not reached */
+	TUNNEL_REPLY_INVALID,
+};
+
+/** Writes the message that asks for a connection to @p server. */
+void tunnel_write_open(struct evbuffer *out, const char *server);
+/** Reads the response, and removes it from @p in. */
+enum tunnel_reply tunnel_read_reply(struct evbuffer *in);
+
+#endif
--- a/serve/upstream.c
+++ b/serve/upstream.c
@@ -11,6 +11,7 @@
 #include "clock.h"
 #include "hdr.h"
 #include "input.h"
+#include "tunnel.h"
 #include "upstream.h"
 
 enum {
@@ -38,6 +39,7 @@
 	http_parser parser;
 	struct upstream_call *call;
 	GArray *headers;
+	char *tunnel_server; /* id, if the connection is through a tunnel */
 	bool connected;
 	bool parsing; /* the parser is on the stack */
 	bool dead;    /* to be freed once it is not */
@@ -74,6 +76,7 @@
 	event_free(conn->timer);
 	bufferevent_free(conn->bev);
 	g_array_unref(conn->headers);
+	g_free(conn->tunnel_server);
 	g_free(conn);
 }
 
@@ -101,8 +104,8 @@
 	struct upstream_call *call = conn->call;
 	const struct upstream_handler *handler = call->handler;
 	void *arg = call->arg;
-	bool reuse =
-		result == UPSTREAM_COMPLETE && call->reusable && !conn->dead;
+	bool reuse = result == UPSTREAM_COMPLETE && call->reusable &&
+		     !conn->dead && conn->tunnel_server == NULL;
 
 	conn->call = NULL;
 	call_free(call);
@@ -235,6 +238,8 @@
 	return false;
 }
 
+static void on_tunnel_reply(struct conn *conn);
+
 static void on_read(struct bufferevent *bev, void *arg)
 {
 	struct conn *conn = arg;
@@ -244,6 +249,10 @@
 		conn_free(conn);
 		return;
 	}
+	if (!conn->connected) {
+		on_tunnel_reply(conn);
+		return;
+	}
 	while (evbuffer_get_length(in) > 0) {
 		struct evbuffer_iovec chunk;
 		struct upstream_call *call;
@@ -288,22 +297,57 @@
 	conn->parser.data = conn;
 }
 
+/* The connection to the server is established. */
 static void on_connected(struct conn *conn)
+{
+	conn->connected = true;
+	event_del(conn->timer);
+	if (conn->call->handler->connected != NULL)
+		conn->call->handler->connected(conn->call->arg);
+	send_request(conn);
+}
+
+static void on_tunnel_reply(struct conn *conn)
+{
+	switch (tunnel_read_reply(bufferevent_get_input(conn->bev))) {
+	case TUNNEL_CONNECTED:
+		on_connected(conn);
+		break;
+	case TUNNEL_NOT_CONNECTED:
+		finish_call(conn, UPSTREAM_NOT_SENT, "connect by tunnel");
+		break;
+	case TUNNEL_REPLY_INVALID:
+		finish_call(conn, UPSTREAM_NO_TUNNEL, "tunnel reply");
+		break;
+	case TUNNEL_REPLY_INCOMPLETE:
+		break;
+	}
+}
+
+/* The socket is connected, to the server or to the instance of the tunnel. */
+static void on_socket_connected(struct conn *conn)
 {
 	int one = 1;
 	unsigned int ms = USER_TIMEOUT_MS;
 	evutil_socket_t fd = bufferevent_getfd(conn->bev);
 
-	conn->connected = true;
 	conn->upstream->opened++;
-	event_del(conn->timer);
 	/* Both options only speed things up, so errors are ignored. */
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
-	if (conn->call->handler->connected != NULL)
-		conn->call->handler->connected(conn->call->arg);
-	send_request(conn);
+	if (conn->tunnel_server != NULL)
+		tunnel_write_open(bufferevent_get_output(conn->bev),
+				  conn->tunnel_server);
+	else
+		on_connected(conn);
+}
+
+/* How a call ends whose connection was not established. */
+static enum upstream_result unconnected_result(const struct conn *conn)
+{
+	return conn->tunnel_server != NULL ? UPSTREAM_NO_TUNNEL
+					   : UPSTREAM_NOT_SENT;
 }
 
 /* The peer closed the connection, which ends a response without a length. */
@@ -314,7 +358,10 @@
 	if (conn->call->sent && !parse(conn, NULL, 0, &parsed))
 		return;
 	conn->call->reusable = false;
-	if (conn->call->complete)
+	/* The end of a tunnel is not the end of a response without a length:
+	 * the instance that carries it may have been killed. */
+	if (conn->call->complete &&
+	    (conn->call->framed || conn->tunnel_server == NULL))
 		finish_call(conn, UPSTREAM_COMPLETE, "");
 	else
 		finish_call(conn, UPSTREAM_INTERRUPTED,
@@ -327,7 +374,7 @@
 
 	(void)bev;
 	if (what & BEV_EVENT_CONNECTED) {
-		on_connected(conn);
+		on_socket_connected(conn);
 		return;
 	}
 	if (conn->call == NULL) {
@@ -335,7 +382,7 @@
 		return;
 	}
 	if (!conn->connected)
-		finish_call(conn, UPSTREAM_NOT_SENT, "connect");
+		finish_call(conn, unconnected_result(conn), "connect");
 	else if (what & BEV_EVENT_EOF)
 		on_eof(conn);
 	else
@@ -351,7 +398,8 @@
 	if (conn->call == NULL)
 		conn_free(conn);
 	else if (!conn->connected || conn->call->connect_failed)
-		finish_call(conn, UPSTREAM_NOT_SENT, "connect timed out");
+		finish_call(conn, unconnected_result(conn),
+			    "connect timed out");
 }
 
 struct upstream *upstream_create(struct event_base *base)
@@ -379,6 +427,8 @@
 
 	conn->upstream = upstream;
 	conn->idle = request->idle;
+	if (request->tunnel != NULL)
+		conn->tunnel_server = g_strdup(request->server);
 	conn->headers = hdr_create();
 	conn->timer = evtimer_new(upstream->base, on_timer, conn);
 	conn->bev = bufferevent_socket_new(upstream->base, -1,
@@ -412,7 +462,8 @@
 	struct sockaddr_storage addr;
 	int len = sizeof(addr);
 
-	if (evutil_parse_sockaddr_port(request->address,
+	if (evutil_parse_sockaddr_port(request->tunnel ? request->tunnel
+						       : request->address,
 				       (struct sockaddr *)&addr, &len) != 0 ||
 	    bufferevent_socket_connect(conn->bev, (struct sockaddr *)&addr,
 				       len) != 0) {
@@ -429,7 +480,7 @@
 				    void *arg)
 {
 	struct upstream_call *call = g_new0(struct upstream_call, 1);
-	struct conn *conn = take_idle(request->idle);
+	struct conn *conn = request->tunnel ? NULL : take_idle(request->idle);
 
 	call->head = request->head;
 	call->body = request->body ? g_bytes_ref(request->body) : NULL;
--- a/serve/upstream.h
+++ b/serve/upstream.h
@@ -22,6 +22,7 @@
 enum upstream_result {
 	UPSTREAM_COMPLETE,    /**< a complete response was received */
 	UPSTREAM_NOT_SENT,    /**< no byte of the request was sent */
+	UPSTREAM_NO_TUNNEL,   /**< nor was the instance of the tunnel reached */
 	UPSTREAM_INTERRUPTED, /**< sent, but without a complete response */
 };
 
@@ -51,6 +52,10 @@
 	const char *id_name; /**< header that a response must echo, or NULL */
 	const char *id;	     /**< and its value */
 	int64_t connect_timeout_ms; /**< of a new connection */
+	/** HOST:PORT of the instance that carries the connection to @p server
+	 * (see tunnel.h), or NULL: a direct connection. It is not kept. */
+	const char *tunnel;
+	const char *server; /**< id; needed with @p tunnel */
 };
 
 struct upstream *upstream_create(struct event_base *base);
--- a/test/gateway/fixture.c
+++ b/test/gateway/fixture.c
@@ -231,6 +231,7 @@
 			.peers = fixture_gateway_address(i, 2),
 			.relay = fixture_gateway_address(i, 3),
 			.metrics = fixture_gateway_address(i, 4),
+			.tunnel = fixture_gateway_address(i, 5),
 			.store = g_strdup(i == 0 ? STORE_ALT_ADDRESS
 						 : STORE_ADDRESS),
 			.grace_s = 4,
@@ -263,6 +264,7 @@
 		g_free(fx.settings[i].peers);
 		g_free(fx.settings[i].relay);
 		g_free(fx.settings[i].metrics);
+		g_free(fx.settings[i].tunnel);
 		g_free(fx.settings[i].store);
 	}
 	for (int i = 0; i < 2; i++) {
--- a/test/gateway/fixture.h
+++ b/test/gateway/fixture.h
@@ -70,7 +70,7 @@
 /**
  * Returns an address that instance @p i listens on.
  *
- * @param port 0 callers, 1 readiness, 2 peers, 3 relay, 4 metrics
+ * @param port 0 callers, 1 readiness, 2 peers, 3 relay, 4 metrics, 5 tunnel
  * @return HOST:PORT; g_free() it
  */
 char *fixture_gateway_address(int i, int port);
