test_server_limit: overtaken responses, old news, forms of the header

Two tests of the first matter's pure parts: a response whose request was sent before the limit was last named does not end it, and a header that is no decimal number says nothing. Both pass; no product code has changed.

--- a/test/unit/test_server_limit.c
+++ b/test/unit/test_server_limit.c
@@ -10,11 +10,15 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
+#include <string.h>
 
 #include <cmocka.h>
 #include <sodium.h>
 
+#include "decide/server_limits.h"
+#include "platform/wire.h"
 #include "serve/clock.h"
+#include "serve/hdr.h"
 #include "test/gateway/fixture.h"
 
 #define LOG_PATH "build/test_server_limit.log"
@@ -174,12 +178,71 @@
 	g_free(load);
 }
 
+/* A response that was overtaken by one that names the limit does not end it,
+ * nor does old news. */
+static void test_overtaken_response_ends_no_limit(void **state)
+{
+	struct slim *slim = slim_create();
+	struct slim_limit limit;
+	struct slim_limit old = {false, 0, 900};
+
+	(void)state;
+	assert_false(slim_on_unnamed(slim, "s", 500));
+	assert_false(slim_get(slim, "s", &limit));
+	assert_true(slim_on_named(slim, "s", 3, 1000));
+	assert_false(slim_on_named(slim, "s", 3, 1001));
+	assert_false(slim_on_unnamed(slim, "s", 990));
+	assert_false(slim_on_report(slim, "s", &old));
+	assert_true(slim_get(slim, "s", &limit));
+	assert_true(limit.named);
+	slim_block(slim, "s", 1500);
+	assert_int_equal(slim_wait_ms(slim, "s", 1100), 400);
+	assert_true(slim_on_unnamed(slim, "s", 1002));
+	assert_int_equal(slim_wait_ms(slim, "s", 1100), 0);
+	slim_destroy(slim);
+}
+
+static void test_limit_header(void **state)
+{
+	static const struct {
+		const char *value;
+		enum response_limit limit;
+	} cases[] = {
+		{"2.5", RESPONSE_LIMIT},
+		{"0", RESPONSE_LIMIT},
+		{"12 ", RESPONSE_LIMIT},
+		{"", RESPONSE_LIMIT_UNREADABLE},
+		{"-1", RESPONSE_LIMIT_UNREADABLE},
+		{"x", RESPONSE_LIMIT_UNREADABLE},
+		{"3,4", RESPONSE_LIMIT_UNREADABLE},
+		{"inf", RESPONSE_LIMIT_UNREADABLE},
+		{"nan", RESPONSE_LIMIT_UNREADABLE},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct upstream_head head = {200, hdr_create(), true};
+		struct response response;
+
+		wire_parse_response(&head, &response);
+		assert_int_equal(response.limit, RESPONSE_NO_LIMIT);
+		hdr_append_name(head.headers, "server-limit", 12);
+		hdr_append_value(head.headers, cases[i].value,
+				 strlen(cases[i].value));
+		wire_parse_response(&head, &response);
+		assert_int_equal(response.limit, cases[i].limit);
+		g_array_unref(head.headers);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		FIXTURE_TEST(test_server_gets_more_than_it_named),
 		FIXTURE_TEST(test_excess_over_limit_is_refused_at_once),
 		FIXTURE_TEST(test_ended_limit_is_forgotten_everywhere),
+		cmocka_unit_test(test_overtaken_response_ends_no_limit),
+		cmocka_unit_test(test_limit_header),
 	};
 
 	if (sodium_init() < 0 || freopen(LOG_PATH, "w", stdout) == NULL)
