--- a/serve/exchange_int.h
+++ b/serve/exchange_int.h
@@ -4,7 +4,8 @@
  *
  * exchange.c authenticates and admits a request and ends it, exchange_pick.c
  * selects a backend server for it, exchange_limit.c keeps to the rate limit of
- * that server, and exchange_send.c sends it there and relays the response.
+ * that server, exchange_send.c sends it there and relays the response, and
+ * exchange_retry.c decides what becomes of it without a server or an answer.
  */
 #ifndef APS_EXCHANGE_INT_H
 #define APS_EXCHANGE_INT_H
@@ -117,6 +118,14 @@
 void exch_note_server_limit(struct exch *x);
 /** Handles a server that has sent nothing for too long. */
 void exch_on_silence(struct exch *x);
+/** (Re)arms the timer that ends an attempt whose server sends nothing. */
+void exch_arm_silence_timer(struct exch *x);
+/** Handles a server that this instance could not connect to; another instance
+ * may reach it. */
+void exch_link_failed(struct exch *x, const char *cause);
+/** Handles another instance that did not carry the connection; the server has
+ * nothing to do with that. */
+void exch_tunnel_failed(struct exch *x, const char *cause);
 /** Handles an attempt that ended without a complete response. */
 void exch_attempt_failed(struct exch *x, enum retry_failure failure,
 			 const char *cause);
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -15,7 +15,6 @@
 	RESPONSE_MAX_BYTES = 16777216, /* of a response that is buffered */
 	EVENT_MAX_BYTES = 1048576,     /* of one event of a stream */
 	UNUSABLE_MAX_BYTES = 65536,    /* read of a response that is not used */
-	SELECT_RETRY_MS = 8,	       /* while no server has a free slot */
 	PRIORITY_MAX = 9,	       /* the least urgent */
 };
 
@@ -147,103 +146,6 @@
 		set_affinity(x, x->call.program);
 }
 
-/* Sends the request again, after a delay unless that is 0. */
-static void send_later(struct exch *x, int64_t delay_ms)
-{
-	if (delay_ms > 0)
-		exch_set_timer(x->timer, delay_ms);
-	else
-		exch_send(x);
-}
-
-static void log_no_answer(const struct exch *x, enum retry_failure failure,
-			  const char *cause)
-{
-	slog("no_answer", x->call.id,
-	     "\"server\":%s,\"tunnel\":%s,\"cause\":\"%s\",\"ran\":\"%s\","
-	     "\"ms\":%" G_GINT64_FORMAT,
-	     slog_quote(x->server->id), slog_quote(x->tunnel ? x->tunnel : ""),
-	     cause, failure == RETRY_INTERRUPTED ? "unknown" : "no",
-	     clock_boot_ms() - x->sent_ms);
-}
-
-/* Ends an attempt and sends the request again, or answers that it failed. */
-static void resend_or_fail(struct exch *x, enum retry_failure failure,
-			   const char *cause)
-{
-	int64_t now_ms = clock_boot_ms();
-	enum retry_action action;
-
-	if (failure == RETRY_INTERRUPTED)
-		x->retry.possible_runs++;
-	else
-		x->retry.refusals++;
-	exch_cancel_upstream(x);
-	x->head_received = false;
-	x->retry.remaining_ms = x->deadline_at_ms - now_ms;
-	action = retry_decide(&x->retry, failure);
-	if (action == RETRY_RESEND) {
-		if (failure == RETRY_INTERRUPTED)
-			stats_count(x->retry.response_started
-					    ? STATS_RESUMED
-					    : STATS_SENT_AGAIN);
-		send_later(x, retry_delay_ms(&x->retry, failure));
-	} else if (action == RETRY_REFUSE) {
-		exch_refuse(x, STATS_REFUSED_FULL, 503, cause,
-			    retry_after_hint_ms(x->route->slo_ms));
-	} else {
-		exch_fail(x, cause, 502);
-	}
-}
-
-void exch_attempt_failed(struct exch *x, enum retry_failure failure,
-			 const char *cause)
-{
-	int64_t now_ms = clock_boot_ms();
-	bool refused = failure == RETRY_NOT_EXECUTED;
-
-	log_no_answer(x, failure, cause);
-	if (failure == RETRY_INTERRUPTED)
-		g_ptr_array_add(x->interrupted_servers,
-				g_strdup(x->server->id));
-	if (!refused)
-		fleet_on_failure(x->server, now_ms);
-	if (failure == RETRY_INTERRUPTED && !x->response.encoded &&
-	    !x->head_received &&
-	    suspect_add(x->shared->suspects, x->fingerprint, x->server->id,
-			now_ms))
-		members_report_suspect(x->shared->members, x->fingerprint,
-				       x->server->id);
-	g_ptr_array_add(x->tried_servers, g_strdup(x->server->id));
-	resend_or_fail(x, failure, cause);
-}
-
-/* This instance did not connect to the server, which may be reached through
- * another one. */
-static void link_failed(struct exch *x, const char *cause)
-{
-	struct members_tunnel tunnel;
-
-	x->link_failed = true;
-	lchk_on_failed(x->shared->link_check, x->server->id);
-	if (members_find_tunnel(x->shared->members, &tunnel)) {
-		log_no_answer(x, RETRY_NOT_SENT, cause);
-		fleet_on_failure(x->server, clock_boot_ms());
-		resend_or_fail(x, RETRY_NOT_SENT, cause);
-	} else {
-		exch_attempt_failed(x, RETRY_NOT_SENT, cause);
-	}
-}
-
-/* The instance that was to carry the connection did not; the server has nothing
- * to do with that. */
-static void tunnel_failed(struct exch *x, const char *cause)
-{
-	log_no_answer(x, RETRY_NOT_SENT, cause);
-	members_report_no_tunnel(x->shared->members, x->tunnel);
-	resend_or_fail(x, RETRY_NOT_SENT, cause);
-}
-
 /* Ties the stream to the version of the server that sent its first event. While
  * there are others, no caller gets an event before every instance can learn the
  * version, or at least none can mistake it. */
@@ -292,8 +194,7 @@
 	x->first_event_seen = true;
 }
 
-/* (Re)arms the timer that ends an attempt whose server sends nothing. */
-static void arm_silence_timer(struct exch *x)
+void exch_arm_silence_timer(struct exch *x)
 {
 	int64_t ms;
 
@@ -386,7 +287,7 @@
 	flush_output(x);
 	/* A part of an event is no progress that the caller would see. */
 	if (x->events_received > events)
-		arm_silence_timer(x);
+		exch_arm_silence_timer(x);
 }
 
 static void on_body(void *arg, const char *data, size_t len)
@@ -445,20 +346,21 @@
 	else if (result == UPSTREAM_COMPLETE)
 		on_complete_response(x);
 	else if (result == UPSTREAM_NO_TUNNEL)
-		tunnel_failed(x, step);
+		exch_tunnel_failed(x, step);
 	else if (result == UPSTREAM_NOT_SENT && x->tunnel == NULL)
-		link_failed(x, step);
+		exch_link_failed(x, step);
 	else if (result == UPSTREAM_NOT_SENT)
 		exch_attempt_failed(x, RETRY_NOT_SENT, step);
 	else
 		exch_attempt_failed(x, RETRY_INTERRUPTED, step);
 }
 
-static const struct upstream_handler server_handler = {.connected =
-							       on_connected,
-						       .head = on_head,
-						       .body = on_body,
-						       .end = on_end};
+static const struct upstream_handler server_handler = {
+	.connected = on_connected,
+	.head = on_head,
+	.body = on_body,
+	.end = on_end,
+};
 
 /* The priority to request from the server; -1 for plain services. */
 static int server_priority(const struct exch *x)
@@ -561,98 +463,5 @@
 					  g_bytes_get_size(x->body));
 	x->upstream = upstream_send(x->shared->upstream, &request,
 				    &server_handler, x);
-	arm_silence_timer(x);
-}
-
-/* All servers have been tried: those that refused may be tried again, and the
- * others too if there is nobody else. */
-static void forget_tried(struct exch *x, int64_t now_ms)
-{
-	enum fleet_pick_status why;
-
-	g_ptr_array_set_size(x->tried_servers, 0);
-	if (!x->retry.response_started)
-		return;
-	for (guint i = 0; i < x->interrupted_servers->len; i++)
-		g_ptr_array_add(
-			x->tried_servers,
-			g_strdup(g_ptr_array_index(x->interrupted_servers, i)));
-	if (exch_pick(x, now_ms, &why) == NULL && why == FLEET_ALL_TRIED)
-		g_ptr_array_set_size(x->tried_servers, 0);
-}
-
-/* Whether a server other than the present one may get the request now. */
-static bool has_other_server(struct exch *x)
-{
-	enum fleet_pick_status why;
-	guint tried = x->tried_servers->len;
-	bool found;
-
-	g_ptr_array_add(x->tried_servers, g_strdup(x->server->id));
-	found = exch_pick(x, clock_boot_ms(), &why) != NULL;
-	g_ptr_array_set_size(x->tried_servers, (gint)tried);
-	return found;
-}
-
-void exch_on_silence(struct exch *x)
-{
-	if (x->retry.response_started && !has_other_server(x)) {
-		arm_silence_timer(x);
-		return;
-	}
-	upstream_cancel(x->upstream);
-	x->upstream = NULL;
-	exch_attempt_failed(x, RETRY_INTERRUPTED, "server silent");
-}
-
-/* No server can take the request now: retries shortly, or ends it. */
-static void on_no_server(struct exch *x, enum fleet_pick_status why,
-			 int64_t now_ms)
-{
-	int64_t max_wait_ms = retry_queue_wait_ms(
-		x->route->slo_ms, x->deadline_at_ms - x->started_ms);
-	int64_t retry_after_ms =
-		why == FLEET_ALL_LIMITED
-			? x->limit_wait_ms
-			: retry_after_hint_ms(x->route->slo_ms);
-	int64_t waited_ms = now_ms - x->started_ms;
-
-	if (why == FLEET_ALL_LIMITED)
-		waited_ms += x->limit_wait_ms;
-	if (x->retry.response_started && why == FLEET_NO_SERVER) {
-		exch_fail(x, "no server to go on", 502);
-		return;
-	}
-	/* A stream that has begun waits up to its deadline. */
-	if (why != FLEET_NO_SERVER &&
-	    (x->retry.response_started || waited_ms < max_wait_ms)) {
-		if (why == FLEET_ALL_TRIED)
-			forget_tried(x, now_ms);
-		exch_set_timer(x->timer, SELECT_RETRY_MS);
-		return;
-	}
-	if (x->retry.possible_runs > 0)
-		exch_fail(x, "no other server", 502);
-	else
-		exch_refuse(x, STATS_REFUSED_FULL, 503,
-			    why == FLEET_NO_SERVER  ? "no server in service"
-			    : why == FLEET_ALL_COLD ? "servers cold"
-			    : why == FLEET_ALL_LIMITED
-				    ? "servers at their rate limit"
-				    : "servers full",
-			    retry_after_ms);
-}
-
-void exch_send(struct exch *x)
-{
-	int64_t now_ms = clock_boot_ms();
-	enum fleet_pick_status why;
-	struct fleet_server *server = exch_pick(x, now_ms, &why);
-
-	if (server == NULL)
-		on_no_server(x, why, now_ms);
-	else if (exch_has_rate_limit(x, server))
-		exch_acquire_server(x, server);
-	else
-		exch_send_to_server(x, server);
+	exch_arm_silence_timer(x);
 }
