soak: instances carry connections for each other

The gateways of the soak get the setting tunnel, so that servers whose proxies reset or drop are tried through instances that are killed and paused meanwhile.

--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -155,9 +155,11 @@
 	char *text = g_strdup_printf(
 		"{\"id\":\"g%d\",\"zone\":\"z\",\"callers\":\"127.0.0.1:%d\","
 		"\"ready\":\"127.0.0.1:%d\",\"peers\":\"127.0.0.1:%d\","
-		"\"relay\":\"127.0.0.1:%d\",\"store\":\"127.0.0.1:%d\","
+		"\"relay\":\"127.0.0.1:%d\",\"tunnel\":\"127.0.0.1:%d\","
+		"\"store\":\"127.0.0.1:%d\","
 		"\"grace_s\":2,\"revoke_ms\":5000}",
-		i, port, port + 1, port + 2, port + 3, state.port + 10 + i);
+		i, port, port + 1, port + 2, port + 3, port + 4,
+		state.port + 10 + i);
 
 	gw->settings_path = g_strdup_printf("%s/g%d.json", dir, i);
 	if (!g_file_set_contents(gw->settings_path, text, -1, NULL))
