serve: end the thread that accepts signals without cancelling it

The step "processes on loopback" with sanitizers ended with "n3 did not stop gracefully": AddressSanitizer aborted a stopping instance with a stack-buffer-underflow in its own sigaltstack() while a thread ended.

Cause: the thread is wait_for_signals(). Its frame is what the report's shadow shows (4 bytes of sig, 128 bytes of the set, redzones around them). It was ended by pthread_cancel() inside sigwait(), which leaves the frame without returning, so its redzones stay poisoned, and the destructor of the sanitizer's thread data runs on the same stack. On arm64 that destructor's frame meets them. No stack of ours overflows; ASAN_OPTIONS stays as it is.

Cancelling was a fault without sanitizers too: the thread writes log lines, and a thread that is cancelled in the log keeps its lock. The thread now returns: a flag is set and a signal wakes it.

--- a/apricotshift/cmd_serve.c
+++ b/apricotshift/cmd_serve.c
@@ -1,6 +1,7 @@
 /** @file cmd_serve.c @brief Runs one instance. */
 #include <pthread.h>
 #include <signal.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -21,10 +22,16 @@
 	US_PER_MS = 1000,
 };
 
+struct signal_thread {
+	pthread_t thread;
+	struct loop *loop;
+	atomic_bool stop;
+};
+
 /* Thread that accepts the signals, which are blocked in all threads. */
 static void *wait_for_signals(void *arg)
 {
-	struct loop *loop = arg;
+	struct signal_thread *signals = arg;
 	sigset_t set;
 	int sig = 0;
 
@@ -32,7 +39,7 @@
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
 	sigaddset(&set, SIGHUP);
-	while (sigwait(&set, &sig) == 0) {
+	while (sigwait(&set, &sig) == 0 && !atomic_load(&signals->stop)) {
 		if (sig == SIGHUP) {
 			/* Settings are read once; rules come from the table. */
 			log_line(LOG_LEVEL_NOTICE,
@@ -43,11 +50,20 @@
 		log_line(LOG_LEVEL_NOTICE,
 			 "serve: %s: starting graceful shutdown",
 			 strsignal(sig));
-		loop_drain(loop);
+		loop_drain(signals->loop);
 	}
 	return NULL;
 }
 
+/* Any signal wakes the thread. It is not cancelled, since it may hold the
+ * log's lock. */
+static void stop_signals(struct signal_thread *signals)
+{
+	atomic_store(&signals->stop, true);
+	pthread_kill(signals->thread, SIGTERM);
+	pthread_join(signals->thread, NULL);
+}
+
 static void block_signals(void)
 {
 	sigset_t set;
@@ -101,7 +117,7 @@
 	struct tableserver *table = NULL;
 	struct http *http = http_create(settings, errors);
 	struct loop *loop = NULL;
-	pthread_t signal_thread;
+	struct signal_thread signals = {0};
 	int status = CMD_FAILED;
 
 	if (http == NULL)
@@ -112,8 +128,9 @@
 	    !apply_first_rules(platform, settings->rules, errors))
 		goto out;
 	loop = loop_create(settings, platform, http_set_rules, http, errors);
-	if (loop == NULL ||
-	    pthread_create(&signal_thread, NULL, wait_for_signals, loop) != 0)
+	signals.loop = loop;
+	if (loop == NULL || pthread_create(&signals.thread, NULL,
+					   wait_for_signals, &signals) != 0)
 		goto out;
 	http_serve(http, loop);
 	log_line(LOG_LEVEL_NOTICE,
@@ -122,8 +139,7 @@
 	loop_run(loop);
 	log_line(LOG_LEVEL_NOTICE, "serve: shutdown complete");
 	http_stop(http);
-	pthread_cancel(signal_thread);
-	pthread_join(signal_thread, NULL);
+	stop_signals(&signals);
 	status = CMD_OK;
 out:
 	http_destroy(http);
