Log which requests are suspected of crashing servers; nothing new acts on it

`suspected` lines name the request's fingerprint, the server and the source; `sent` carries the fingerprint; `no_answer` says whether a head had come and whether the server is still listed; counter suspected_total. No decision is changed.

--- a/serve/exchange_retry.c
+++ b/serve/exchange_retry.c
@@ -24,9 +24,11 @@
 {
 	slog("no_answer", x->call.id,
 	     "\"server\":%s,\"tunnel\":%s,\"cause\":\"%s\",\"ran\":\"%s\","
-	     "\"ms\":%" G_GINT64_FORMAT,
+	     "\"head\":%s,\"listed\":%s,\"ms\":%" G_GINT64_FORMAT,
 	     slog_quote(x->server->id), slog_quote(x->tunnel ? x->tunnel : ""),
 	     cause, failure == RETRY_INTERRUPTED ? "unknown" : "no",
+	     x->head_received ? "true" : "false",
+	     x->server->listed ? "true" : "false",
 	     clock_boot_ms() - x->sent_ms);
 }
 
@@ -59,6 +61,15 @@
 	}
 }
 
+static void log_suspected(const struct exch *x, const char *cause)
+{
+	stats_count(STATS_SUSPECTED);
+	slog("suspected", x->call.id,
+	     "\"fingerprint\":\"%016" G_GINT64_MODIFIER
+	     "x\",\"server\":%s,\"cause\":\"%s\",\"source\":\"own\"",
+	     x->fingerprint, slog_quote(x->server->id), cause);
+}
+
 void exch_attempt_failed(struct exch *x, enum retry_failure failure,
 			 const char *cause)
 {
@@ -74,9 +85,11 @@
 	if (failure == RETRY_INTERRUPTED && !x->response.encoded &&
 	    !x->head_received &&
 	    suspect_add(x->shared->suspects, x->fingerprint, x->server->id,
-			now_ms))
+			now_ms)) {
+		log_suspected(x, cause);
 		members_report_suspect(x->shared->members, x->fingerprint,
 				       x->server->id);
+	}
 	g_ptr_array_add(x->tried_servers, g_strdup(x->server->id));
 	resend_or_fail(x, failure, cause);
 }
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -385,7 +385,8 @@
 	     ",\"route\":%s,\"config\":%" G_GINT64_FORMAT
 	     ",\"version\":%s,\"after_event\":%" G_GINT64_FORMAT
 	     ",\"resumes\":%s,\"limit\":%.2f,\"limit_ms\":%" G_GINT64_FORMAT
-	     ",\"tunnel\":%s,\"link_lost\":%s,\"silent_ms\":%" G_GINT64_FORMAT,
+	     ",\"tunnel\":%s,\"link_lost\":%s,\"silent_ms\":%" G_GINT64_FORMAT
+	     ",\"fingerprint\":\"%016" G_GINT64_MODIFIER "x\"",
 	     slog_quote(server->id), slog_quote(exch_account_name(x)),
 	     server->running,
 	     server->reported_running + server->reported_waiting,
@@ -397,7 +398,7 @@
 	     limit.named ? now_ms - limit.as_of_ms : -1,
 	     slog_quote(x->tunnel ? x->tunnel : ""),
 	     links_is_lost(x->shared->links, server->id) ? "true" : "false",
-	     links_silent_ms(x->shared->links, now_ms));
+	     links_silent_ms(x->shared->links, now_ms), x->fingerprint);
 }
 
 /* Sends the request through another instance if the link to its server is lost;
--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -241,8 +241,14 @@
 {
 	struct gw *gw = arg;
 
-	return suspect_add(gw->shared.suspects, fingerprint, server,
-			   clock_boot_ms());
+	if (!suspect_add(gw->shared.suspects, fingerprint, server,
+			 clock_boot_ms()))
+		return false;
+	slog("suspected", NULL,
+	     "\"fingerprint\":\"%016" G_GINT64_MODIFIER
+	     "x\",\"server\":%s,\"source\":\"instance\"",
+	     fingerprint, slog_quote(server));
+	return true;
 }
 
 static void close_idle(struct fleet_server *server)
--- a/serve/stats.c
+++ b/serve/stats.c
@@ -29,6 +29,7 @@
 	[STATS_RESUMED] = "resumed_total",
 	[STATS_NOT_EXECUTED] = "not_executed_total",
 	[STATS_SERVER_LIMITED] = "server_limited_total",
+	[STATS_SUSPECTED] = "suspected_total",
 	[STATS_LINKS_LOST] = "links_lost_total",
 	[STATS_SENT_BY_TUNNEL] = "sent_by_tunnel_total",
 	[STATS_TUNNELS] = "tunnels_total",
