test_crashing_request: requests that crash servers are sent on and on

backend_set_crash() lets the stand-in crash; fixture_put_started() lists a server that started again.

--- a/test/gateway/fixture.c
+++ b/test/gateway/fixture.c
@@ -109,13 +109,14 @@
 }
 
 static void put_server(const char *id, const char *service, const char *address,
-		       const char *state, const char *version)
+		       const char *state, const char *version,
+		       int64_t started_ms)
 {
 	char *row = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\","
 		"\"version\":\"%s\",\"slots\":8,\"state\":\"%s\","
-		"\"cold_left_ms\":0,\"born\":1}",
-		service, address, version, state);
+		"\"cold_left_ms\":0,\"born\":%" G_GINT64_FORMAT "}",
+		service, address, version, state, started_ms);
 
 	rowstore_put(fx.store, "servers", "", id, row);
 	g_free(row);
@@ -124,13 +125,19 @@
 void fixture_put_server(const char *id, const char *service,
 			const char *address, const char *state)
 {
-	put_server(id, service, address, state, FIXTURE_VERSION);
+	put_server(id, service, address, state, FIXTURE_VERSION, 1);
+}
+
+void fixture_put_started(const char *id, const char *service,
+			 const char *address, int64_t started_ms)
+{
+	put_server(id, service, address, "ready", FIXTURE_VERSION, started_ms);
 }
 
 void fixture_put_engine(const char *id, const char *address,
 			const char *version)
 {
-	put_server(id, "engines", address, "ready", version);
+	put_server(id, "engines", address, "ready", version, 1);
 }
 
 void fixture_send(struct fixture_response *response, int gateway,
@@ -205,6 +212,16 @@
 	assert_non_null(fx.gateways[i]);
 }
 
+void fixture_wait_until_ready(void)
+{
+	int64_t deadline_ms = clock_boot_ms() + READY_TIMEOUT_MS;
+
+	while (!(fixture_is_ready(0) && fixture_is_ready(1)) &&
+	       clock_boot_ms() < deadline_ms)
+		fixture_run_until(NULL, 20);
+	fixture_run_until(NULL, 50);
+}
+
 int fixture_set_up(void **state)
 {
 	(void)state;
@@ -242,11 +259,7 @@
 		};
 		fixture_start_gateway(i);
 	}
-	for (int64_t deadline_ms = clock_boot_ms() + READY_TIMEOUT_MS;
-	     !(fixture_is_ready(0) && fixture_is_ready(1)) &&
-	     clock_boot_ms() < deadline_ms;)
-		fixture_run_until(NULL, 20);
-	fixture_run_until(NULL, 50);
+	fixture_wait_until_ready();
 	return 0;
 }
 
--- a/test/gateway/fixture.h
+++ b/test/gateway/fixture.h
@@ -80,6 +80,9 @@
 /** Stores the row of a backend server, of version FIXTURE_VERSION. */
 void fixture_put_server(const char *id, const char *service,
 			const char *address, const char *state);
+/** Stores the row of a ready server that was started at @p started_ms. */
+void fixture_put_started(const char *id, const char *service,
+			 const char *address, int64_t started_ms);
 /** Stores the row of a ready engine. */
 void fixture_put_engine(const char *id, const char *address,
 			const char *version);
@@ -96,6 +99,8 @@
 		 const char *path);
 bool fixture_is_ready(int gateway);
 void fixture_start_gateway(int i);
+/** Waits until both instances are ready. */
+void fixture_wait_until_ready(void);
 /** Cancels the request if it has not ended, and frees the response. */
 void fixture_response_clear(struct fixture_response *response);
 int fixture_set_up(void **state);
--- a/test/standins/backend.c
+++ b/test/standins/backend.c
@@ -24,6 +24,10 @@
 	int long_gap_ms;
 	enum backend_mode mode;
 	const char *limit_per_s; /* named in each response, or NULL */
+	bool crashes;		 /* at requests with the body crash_body */
+	const char *crash_body;
+	enum backend_crash crash;
+	bool has_crashed;
 	GPtrArray *runs;
 	guint cancelled;
 };
@@ -38,6 +42,7 @@
 	int event_gap_ms;
 	bool headers_sent;
 	bool stalled; /* a line has been begun */
+	bool crashes; /* the server, after the first event */
 };
 
 static void free_run(gpointer p)
@@ -162,6 +167,10 @@
 
 	(void)fd;
 	(void)what;
+	if (stream->crashes && stream->next_id == 2)
+		backend->has_crashed = true;
+	if (backend->has_crashed)
+		return;
 	if (!stream->headers_sent) {
 		GString *headers = response_headers(backend, request);
 
@@ -200,7 +209,8 @@
 }
 
 static void start_stream(struct backend *backend,
-			 struct inbound_request *request, int64_t last_event_id)
+			 struct inbound_request *request, int64_t last_event_id,
+			 bool crashes)
 {
 	struct stream *stream = g_new0(struct stream, 1);
 	bool is_long = backend->long_path != NULL &&
@@ -209,6 +219,7 @@
 
 	stream->backend = backend;
 	stream->request = request;
+	stream->crashes = crashes;
 	stream->n_events = is_long ? backend->n_long_events : backend->n_events;
 	stream->event_gap_ms =
 		is_long ? backend->long_gap_ms : backend->event_gap_ms;
@@ -253,12 +264,25 @@
 	g_string_free(headers, TRUE);
 }
 
+static bool crashes_at(const struct backend *backend,
+		       const struct backend_run *run)
+{
+	const char *body = run->body ? run->body : "";
+
+	return backend->crashes &&
+	       strcmp(body, backend->crash_body ? backend->crash_body : "") ==
+		       0;
+}
+
 static void on_request(void *arg, struct inbound_request *request)
 {
 	struct backend *backend = arg;
 	struct backend_run *run;
 	GString *headers;
+	bool crashes;
 
+	if (backend->has_crashed)
+		return;
 	if (backend->mode == BACKEND_REFUSE ||
 	    backend->mode == BACKEND_MISDIRECTED) {
 		headers = response_headers(backend, request);
@@ -270,7 +294,10 @@
 		return;
 	}
 	run = record_run(backend, request);
-	if (backend->mode == BACKEND_NO_RESPONSE)
+	crashes = crashes_at(backend, run);
+	if (crashes && backend->crash == BACKEND_CRASH_AT_ONCE)
+		backend->has_crashed = true;
+	if (backend->has_crashed || backend->mode == BACKEND_NO_RESPONSE)
 		return;
 	if (backend->mode == BACKEND_CLOSE) {
 		inbound_abort(request);
@@ -286,7 +313,7 @@
 		return;
 	}
 	if (strstr(request->target, "/turn") != NULL) {
-		start_stream(backend, request, run->last_event_id);
+		start_stream(backend, request, run->last_event_id, crashes);
 		return;
 	}
 	reply(backend, request);
@@ -341,6 +368,19 @@
 	backend->mode = mode;
 }
 
+void backend_set_crash(struct backend *backend, const char *body,
+		       enum backend_crash how)
+{
+	backend->crashes = true;
+	backend->crash_body = body;
+	backend->crash = how;
+}
+
+bool backend_has_crashed(const struct backend *backend)
+{
+	return backend->has_crashed;
+}
+
 void backend_set_limit(struct backend *backend, const char *per_s)
 {
 	backend->limit_per_s = per_s;
--- a/test/standins/backend.h
+++ b/test/standins/backend.h
@@ -8,6 +8,8 @@
 #ifndef APS_STANDIN_BACKEND_H
 #define APS_STANDIN_BACKEND_H
 
+#include <stdbool.h>
+
 #include <event2/event.h>
 #include <glib.h>
 
@@ -35,6 +37,12 @@
 	BACKEND_STALLED,       /**< a byte now and then, of the 2nd event */
 };
 
+/** How a server ends that begins to run a request which crashes it. */
+enum backend_crash {
+	BACKEND_CRASH_AT_ONCE,	 /**< before any byte of a response */
+	BACKEND_CRASH_IN_STREAM, /**< after the first event of a stream */
+};
+
 /** A request that the server ran. */
 struct backend_run {
 	char *id;      /**< Request-Id; "" if missing */
@@ -64,6 +72,13 @@
 			      guint n_events, int event_gap_ms);
 void backend_destroy(struct backend *backend);
 void backend_set_mode(struct backend *backend, enum backend_mode mode);
+/** Makes the server crash when it runs a request with @p body, which must
+ * outlive it, or for NULL any request without a body. It then sends nothing any
+ * more, and its connections stay open until it is destroyed. */
+void backend_set_crash(struct backend *backend, const char *body,
+		       enum backend_crash how);
+/** Whether the server has crashed. */
+bool backend_has_crashed(const struct backend *backend);
 /** Names a rate limit, @p per_s requests a second, in each response from now
  * on; NULL: none. */
 void backend_set_limit(struct backend *backend, const char *per_s);
--- /dev/null
+++ b/test/unit/test_crashing_request.c
@@ -0,0 +1,351 @@
+/**
+ * @file test_crashing_request.c
+ * @brief A request that crashes each backend server that begins to run it.
+ *
+ * See fixture.h. The caller sends the request again and again, to the two
+ * instances in turn, and each server that crashed is started again. Users state
+ * that once three servers have crashed, at most three retries reach a server
+ * later than CONTACT_MS after that.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "serve/clock.h"
+#include "test/gateway/fixture.h"
+
+#define BODY "crashes servers"
+
+enum {
+	SERVERS = 2,
+	CRASHES_MAX = 3, /* until the request is known */
+	RETRIES_MAX = 3, /* that may reach a server after that */
+	CONTACT_MS = 3000,
+	TRIES = 8,
+	CONCURRENT = 10,
+	DOWN_MS = 300,		  /* of a server whose connections are closed */
+	SILENT_DOWN_MS = 1800,	  /* of a server that falls silent */
+	UNLISTED_AFTER_MS = 1500, /* the entry of a silent server is removed */
+	RETRY_GAP_MS = 100,
+};
+
+/* A server and its starts. */
+struct server {
+	struct backend **backend;
+	const char *name;
+	const char *service;
+	const char *address;
+	int starts;
+	char id[32];
+	int64_t crashed_ms; /* 0: it runs */
+	bool listed;
+};
+
+/* The servers of one service, and how they crash. */
+struct crashes {
+	struct server servers[SERVERS];
+	const char *body;
+	enum backend_crash how;
+	bool is_silent;	  /* connections stay open */
+	bool keeps_id;	  /* a server starts again under its id */
+	guint count;	  /* servers that have crashed */
+	int64_t third_ms; /* when the third one did */
+};
+
+static void start_server(struct crashes *crashes, struct server *server)
+{
+	server->starts++;
+	if (crashes->keeps_id)
+		g_strlcpy(server->id, server->name, sizeof(server->id));
+	else
+		g_snprintf(server->id, sizeof(server->id), "%s-%d",
+			   server->name, server->starts);
+	server->crashed_ms = 0;
+	server->listed = true;
+	*server->backend = backend_create(fx.base, server->address, server->id,
+					  STREAM_EVENTS, EVENT_GAP_MS);
+	assert_non_null(*server->backend);
+	backend_set_crash(*server->backend, crashes->body, crashes->how);
+	fixture_put_started(server->id, server->service, server->address,
+			    server->starts);
+}
+
+static void stop_server(struct server *server)
+{
+	backend_destroy(*server->backend);
+	*server->backend = NULL;
+}
+
+static void unlist_server(struct server *server)
+{
+	rowstore_put(fx.store, "servers", "", server->id, NULL);
+	server->listed = false;
+}
+
+static void on_crash(struct crashes *crashes, struct server *server)
+{
+	server->crashed_ms = clock_boot_ms();
+	if (++crashes->count == CRASHES_MAX)
+		crashes->third_ms = server->crashed_ms;
+	if (!crashes->is_silent)
+		stop_server(server);
+}
+
+static void step_server(struct crashes *crashes, struct server *server)
+{
+	int64_t down_ms = crashes->is_silent ? SILENT_DOWN_MS : DOWN_MS;
+	int64_t since_ms;
+
+	if (server->crashed_ms == 0 && backend_has_crashed(*server->backend))
+		on_crash(crashes, server);
+	if (server->crashed_ms == 0)
+		return;
+	since_ms = clock_boot_ms() - server->crashed_ms;
+	if (crashes->is_silent && server->listed &&
+	    since_ms > UNLISTED_AFTER_MS)
+		unlist_server(server);
+	if (since_ms <= down_ms)
+		return;
+	if (*server->backend != NULL)
+		stop_server(server);
+	if (server->listed && !crashes->keeps_id)
+		unlist_server(server);
+	start_server(crashes, server);
+}
+
+/* Runs the event loop and the servers until @p flag, if any, is set. */
+static void run_until(struct crashes *crashes, const bool *flag, int64_t ms)
+{
+	int64_t deadline_ms = clock_boot_ms() + ms;
+
+	while ((flag == NULL || !*flag) && clock_boot_ms() < deadline_ms) {
+		fixture_run_until(NULL, 2);
+		for (int i = 0; i < SERVERS; i++)
+			step_server(crashes, &crashes->servers[i]);
+	}
+}
+
+/* Waits until all servers run again and the instances know. */
+static void wait_for_servers(struct crashes *crashes)
+{
+	for (int i = 0; i < SERVERS; i++) {
+		while (crashes->servers[i].crashed_ms != 0)
+			run_until(crashes, NULL, RETRY_GAP_MS);
+	}
+	run_until(crashes, NULL, RETRY_GAP_MS);
+}
+
+static void set_up_servers(struct crashes *crashes, bool engines)
+{
+	static const char *const names[2][SERVERS] = {{"s1", "s2"},
+						      {"e1", "e2"}};
+	static const char *const addresses[2][SERVERS] = {
+		{SERVICE_1_ADDRESS, SERVICE_2_ADDRESS},
+		{ENGINE_1_ADDRESS, ENGINE_2_ADDRESS}};
+
+	for (int i = 0; i < SERVERS; i++) {
+		struct server *server = &crashes->servers[i];
+
+		server->backend = engines ? &fx.engines[i] : &fx.services[i];
+		server->name = names[engines][i];
+		server->service = engines ? "engines" : "shop";
+		server->address = addresses[engines][i];
+		stop_server(server);
+		rowstore_put(fx.store, "servers", "", server->name, NULL);
+		start_server(crashes, server);
+	}
+	run_until(crashes, NULL, RETRY_GAP_MS);
+}
+
+/* Sends the request once more, to one of the instances. */
+static int try_once(struct crashes *crashes, int gateway, const char *method,
+		    const char *path)
+{
+	struct fixture_response response;
+	char *headers = g_strdup_printf(
+		AUTH_HEADER TURN_HEADERS "Request-Id: r%u\r\n", fx.next_id++);
+	int status;
+
+	fixture_send(&response, gateway, method, path, headers,
+		     crashes->body ? crashes->body : "");
+	run_until(crashes, &response.done, RESPONSE_TIMEOUT_MS);
+	status = response.status;
+	fixture_response_clear(&response);
+	g_free(headers);
+	wait_for_servers(crashes);
+	return status;
+}
+
+/* Sends the request again and again; it must be refused in the end, and have
+ * crashed no more servers than it takes to know it. */
+static void try_often(struct crashes *crashes, int tries, const char *method,
+		      const char *path)
+{
+	int status = 0;
+
+	for (int i = 0; i < tries; i++)
+		status = try_once(crashes, i % GATEWAY_COUNT, method, path);
+	assert_int_equal(crashes->count, CRASHES_MAX);
+	assert_int_equal(status, 503);
+}
+
+static void restart(struct crashes *crashes, int gateway)
+{
+	gw_destroy(fx.gateways[gateway]);
+	upstream_close_idle(&fx.idle[gateway]);
+	fixture_start_gateway(gateway);
+	fixture_wait_until_ready();
+	run_until(crashes, NULL, RETRY_GAP_MS);
+}
+
+static void test_crashing_post(void **state)
+{
+	struct crashes crashes = {.body = BODY};
+
+	(void)state;
+	set_up_servers(&crashes, false);
+	try_often(&crashes, TRIES, "POST", "/order/x");
+}
+
+static void test_crashing_request_without_body(void **state)
+{
+	struct crashes crashes = {.body = NULL};
+
+	(void)state;
+	set_up_servers(&crashes, false);
+	try_often(&crashes, TRIES, "GET", "/get/x");
+}
+
+static void test_crash_in_a_stream(void **state)
+{
+	struct crashes crashes = {.body = BODY, .how = BACKEND_CRASH_IN_STREAM};
+
+	(void)state;
+	set_up_servers(&crashes, true);
+	try_often(&crashes, TRIES, "POST", "/free/turn");
+}
+
+static void test_crash_of_servers_that_fall_silent(void **state)
+{
+	struct crashes crashes = {.body = BODY, .is_silent = true};
+
+	(void)state;
+	set_up_servers(&crashes, false);
+	try_often(&crashes, TRIES, "POST", "/order/x");
+}
+
+static void test_crash_of_a_server_that_keeps_its_id(void **state)
+{
+	struct crashes crashes = {.body = BODY, .keeps_id = true};
+
+	(void)state;
+	set_up_servers(&crashes, false);
+	try_often(&crashes, TRIES, "POST", "/order/x");
+}
+
+static void test_crashes_are_known_after_restarts(void **state)
+{
+	struct crashes crashes = {.body = BODY};
+
+	(void)state;
+	set_up_servers(&crashes, false);
+	try_often(&crashes, TRIES, "POST", "/order/x");
+	for (int round = 0; round < 2; round++) {
+		for (int i = 0; i < GATEWAY_COUNT; i++)
+			restart(&crashes, i);
+		try_often(&crashes, TRIES, "POST", "/order/x");
+	}
+}
+
+static void test_crashes_are_known_after_a_kill_of_all(void **state)
+{
+	struct crashes crashes = {.body = BODY};
+
+	(void)state;
+	set_up_servers(&crashes, false);
+	for (guint seen = 1; seen <= CRASHES_MAX; seen++) {
+		while (crashes.count < seen)
+			(void)try_once(&crashes, (int)seen % GATEWAY_COUNT,
+				       "POST", "/order/x");
+		for (int i = 0; i < GATEWAY_COUNT; i++) {
+			gw_destroy(fx.gateways[i]);
+			upstream_close_idle(&fx.idle[i]);
+		}
+		for (int i = 0; i < GATEWAY_COUNT; i++)
+			fixture_start_gateway(i);
+		fixture_wait_until_ready();
+	}
+	try_often(&crashes, TRIES, "POST", "/order/x");
+}
+
+static void test_crashes_are_known_to_a_late_instance(void **state)
+{
+	struct crashes crashes = {.body = BODY};
+
+	(void)state;
+	set_up_servers(&crashes, false);
+	try_often(&crashes, TRIES, "POST", "/order/x");
+	run_until(&crashes, NULL, CONTACT_MS + 1000);
+	restart(&crashes, 1);
+	for (int i = 0; i < TRIES; i++)
+		(void)try_once(&crashes, 1, "POST", "/order/x");
+	assert_int_equal(crashes.count, CRASHES_MAX);
+}
+
+/* Sends the request at once so often, and again when all have ended. */
+static void try_concurrently(struct crashes *crashes, const char *method,
+			     const char *path)
+{
+	struct fixture_response responses[CONCURRENT];
+
+	for (int i = 0; i < CONCURRENT; i++) {
+		char *headers = g_strdup_printf(
+			AUTH_HEADER "Request-Id: r%u\r\n", fx.next_id++);
+
+		fixture_send(&responses[i], i % GATEWAY_COUNT, method, path,
+			     headers, crashes->body ? crashes->body : "");
+		g_free(headers);
+	}
+	for (int i = 0; i < CONCURRENT; i++) {
+		run_until(crashes, &responses[i].done, RESPONSE_TIMEOUT_MS);
+		fixture_response_clear(&responses[i]);
+	}
+	wait_for_servers(crashes);
+}
+
+static void test_many_tries_of_a_crashing_request(void **state)
+{
+	struct crashes crashes = {.body = NULL};
+	guint before;
+
+	(void)state;
+	set_up_servers(&crashes, false);
+	while (crashes.third_ms == 0)
+		try_concurrently(&crashes, "GET", "/get/x");
+	run_until(&crashes, NULL, CONTACT_MS);
+	before = crashes.count;
+	for (int i = 0; i < TRIES; i++)
+		try_concurrently(&crashes, "GET", "/get/x");
+	assert_in_range(crashes.count - before, 0, RETRIES_MAX);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		FIXTURE_TEST(test_crashing_post),
+		FIXTURE_TEST(test_crashing_request_without_body),
+		FIXTURE_TEST(test_crash_in_a_stream),
+		FIXTURE_TEST(test_crash_of_servers_that_fall_silent),
+		FIXTURE_TEST(test_crash_of_a_server_that_keeps_its_id),
+		FIXTURE_TEST(test_crashes_are_known_after_restarts),
+		FIXTURE_TEST(test_crashes_are_known_after_a_kill_of_all),
+		FIXTURE_TEST(test_crashes_are_known_to_a_late_instance),
+		FIXTURE_TEST(test_many_tries_of_a_crashing_request),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
