Suspect requests by the starts of servers that ended under them

Callers saw requests that crash servers sent on for ever where servers start again under their id, and where their crashes are more than 20 s apart; and sound requests refused for 60 s after three resets of connections.

Cause: a broken connection was taken for the end of a server, and the id for a server. Both are guesses that the list and later responses can decide.

decide/suspect keeps marks: a request and one start of a server. A mark is open until its server is gone from the list (confirmed), or has sent bytes since, announces its end or is still listed after 15 s (disproved). Open marks count, so that three crashes are acted on at once. A request that some server ran to the end is cleared, and marks of it are ignored for 30 s: by definition it does not crash each server. That makes a long memory safe: an hour instead of 20 s. The fingerprint now has the method.

test_failures_far_apart_are_ignored held crashes 30 s apart to be unrelated; the users' rule knows no such time. test_suspect takes its place: crashes 10 min apart count, marks end after an hour, and what the old test was for, sound requests that are refused, is checked by servers that live and requests that complete. test_request_failing_on_three_servers_is_refused moved there.

--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -334,6 +334,11 @@
 	server->running_then = server->running;
 }
 
+void fleet_on_heard(struct fleet_server *server, int64_t now)
+{
+	server->heard_ms = now;
+}
+
 void fleet_on_failure(struct fleet_server *server, int64_t now)
 {
 	int64_t wait = AVOID_FIRST_MS;
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -50,6 +50,7 @@
 	uint32_t reported_waiting;
 	int64_t reported_at_ms; /**< time of that report; 0: none */
 	uint32_t running_then;	/**< @ref running at that time */
+	int64_t heard_ms;	/**< last byte of a response; 0: none */
 	int64_t avoid_until_ms; /**< end of the backoff after a failure */
 	uint32_t failures;	/**< consecutive */
 	GQueue *send_times;	/**< of the sends of the last second */
@@ -151,6 +152,8 @@
 /** Records a load report of the server. */
 void fleet_on_load_report(struct fleet_server *server, uint32_t running,
 			  uint32_t waiting, int64_t now);
+/** Records that bytes of a response were received. */
+void fleet_on_heard(struct fleet_server *server, int64_t now);
 /** Starts or extends the backoff after a connection failed or broke. */
 void fleet_on_failure(struct fleet_server *server, int64_t now);
 /** Records a response; @p fault: the server itself failed. */
--- a/decide/suspect.c
+++ b/decide/suspect.c
@@ -6,35 +6,60 @@
 #include "suspect.h"
 
 enum {
-	REFUSAL_SERVERS = 3,	 /* failures at this many servers */
-	CRASH_WINDOW_MS = 20000, /* failures further apart are unrelated */
-	REFUSAL_MS = 60000,
-	ENTRIES_MAX = 4096,
+	REFUSAL_SERVERS = 3, /* servers that ended under a request */
+	/* By then the entry of a server that ended is gone from the list. */
+	OPEN_MAX_MS = 15000,
+	MARK_MAX_MS = 3600000,
+	REQUESTS_MAX = 4096,  /* with marks */
+	MARKS_MAX = 8,	      /* of a request; the oldest goes first */
+	COMPLETED_MS = 30000, /* a request that ran to the end is sound */
+	COMPLETED_SLOTS = 4096,
 };
 
-struct entry {
-	GPtrArray *servers;
-	int64_t last_ms;
+struct mark {
+	struct suspect_mark public;
+	char *server;
+};
+
+struct request {
+	GPtrArray *marks; /* of struct mark, oldest first */
+};
+
+/* A request that a server ran to the end. */
+struct completed {
+	uint64_t fingerprint;
+	int64_t at_ms;
 };
 
 struct suspects {
-	GHashTable *entries; /* fingerprint -> struct entry */
+	struct suspect_handler handler;
+	GHashTable *requests; /* fingerprint -> struct request */
+	struct completed completed[COMPLETED_SLOTS]; /* by fingerprint */
 };
 
-static void entry_free(gpointer p)
+static void mark_free(gpointer p)
+{
+	struct mark *mark = p;
+
+	g_free(mark->server);
+	g_free(mark);
+}
+
+static void request_free(gpointer p)
 {
-	struct entry *entry = p;
+	struct request *request = p;
 
-	g_ptr_array_free(entry->servers, TRUE);
-	g_free(entry);
+	g_ptr_array_free(request->marks, TRUE);
+	g_free(request);
 }
 
-struct suspects *suspect_create(void)
+struct suspects *suspect_create(const struct suspect_handler *handler)
 {
 	struct suspects *suspects = g_new0(struct suspects, 1);
 
-	suspects->entries = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-						  g_free, entry_free);
+	suspects->handler = *handler;
+	suspects->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						   g_free, request_free);
 	return suspects;
 }
 
@@ -42,68 +67,298 @@
 {
 	if (suspects == NULL)
 		return;
-	g_hash_table_destroy(suspects->entries);
+	g_hash_table_destroy(suspects->requests);
 	g_free(suspects);
 }
 
-static bool is_expired(const struct entry *entry, int64_t now)
+static struct request *find_request(const struct suspects *suspects,
+				    uint64_t fingerprint)
 {
-	int64_t lifetime_ms = entry->servers->len >= REFUSAL_SERVERS
-				      ? REFUSAL_MS
-				      : CRASH_WINDOW_MS;
+	gint64 key = (gint64)fingerprint;
 
-	return now - entry->last_ms > lifetime_ms;
+	return g_hash_table_lookup(suspects->requests, &key);
 }
 
-static gboolean remove_if_expired(gpointer key, gpointer value, gpointer now)
+static struct completed *completed_slot(struct suspects *suspects,
+					uint64_t fingerprint)
 {
-	(void)key;
-	return is_expired(value, *(int64_t *)now);
+	return &suspects->completed[fingerprint % COMPLETED_SLOTS];
 }
 
-bool suspect_add(struct suspects *suspects, uint64_t fingerprint,
-		 const char *server, int64_t now)
+static bool has_completed(struct suspects *suspects, uint64_t fingerprint,
+			  int64_t now)
 {
-	gint64 key = (gint64)fingerprint;
-	struct entry *entry = g_hash_table_lookup(suspects->entries, &key);
+	const struct completed *slot = completed_slot(suspects, fingerprint);
+
+	return slot->fingerprint == fingerprint && slot->at_ms > 0 &&
+	       now - slot->at_ms <= COMPLETED_MS;
+}
+
+static bool counts(const struct mark *mark)
+{
+	return mark->public.evidence != SUSPECT_SILENT;
+}
+
+static guint count_marks(const struct request *request)
+{
+	guint count = 0;
+
+	for (guint i = 0; i < request->marks->len; i++)
+		count += counts(g_ptr_array_index(request->marks, i));
+	return count;
+}
+
+static int64_t last_ended_ms(const struct request *request)
+{
+	const struct mark *last =
+		g_ptr_array_index(request->marks, request->marks->len - 1);
+
+	return last->public.ended_ms;
+}
 
-	if (entry != NULL && is_expired(entry, now)) {
-		g_hash_table_remove(suspects->entries, &key);
-		entry = NULL;
+/* Makes room by the request that was suspected longest ago, but not by one that
+ * is refused; returns false if there is none. */
+static bool evict_request(struct suspects *suspects)
+{
+	struct request *oldest = NULL;
+	gpointer oldest_key = NULL;
+	GHashTableIter it;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, suspects->requests);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		struct request *request = value;
+
+		if (count_marks(request) >= REFUSAL_SERVERS ||
+		    (oldest != NULL &&
+		     last_ended_ms(request) >= last_ended_ms(oldest)))
+			continue;
+		oldest = request;
+		oldest_key = key;
 	}
-	if (entry == NULL) {
-		if (g_hash_table_size(suspects->entries) >= ENTRIES_MAX)
-			g_hash_table_foreach_remove(suspects->entries,
-						    remove_if_expired, &now);
-		if (g_hash_table_size(suspects->entries) >= ENTRIES_MAX)
-			return false;
-		entry = g_new0(struct entry, 1);
-		entry->servers = g_ptr_array_new_with_free_func(g_free);
-		g_hash_table_insert(suspects->entries,
-				    g_memdup2(&key, sizeof(key)), entry);
+	return oldest_key != NULL &&
+	       g_hash_table_remove(suspects->requests, oldest_key);
+}
+
+static struct request *create_request(struct suspects *suspects,
+				      uint64_t fingerprint)
+{
+	gint64 key = (gint64)fingerprint;
+	struct request *request;
+
+	if (g_hash_table_size(suspects->requests) >= REQUESTS_MAX &&
+	    !evict_request(suspects))
+		return NULL;
+	request = g_new0(struct request, 1);
+	request->marks = g_ptr_array_new_with_free_func(mark_free);
+	g_hash_table_insert(suspects->requests, g_memdup2(&key, sizeof(key)),
+			    request);
+	return request;
+}
+
+static bool is_same_start(const struct mark *mark,
+			  const struct suspect_mark *other)
+{
+	return mark->public.started_ms == other->started_ms &&
+	       strcmp(mark->server, other->server) == 0;
+}
+
+static struct mark *find_mark(const struct request *request,
+			      const struct suspect_mark *wanted, guint *index)
+{
+	for (guint i = 0; i < request->marks->len; i++) {
+		struct mark *mark = g_ptr_array_index(request->marks, i);
+
+		if (is_same_start(mark, wanted)) {
+			*index = i;
+			return mark;
+		}
 	}
-	for (guint i = 0; i < entry->servers->len; i++) {
-		if (strcmp(g_ptr_array_index(entry->servers, i), server) == 0)
-			return false;
+	return NULL;
+}
+
+bool suspect_add(struct suspects *suspects, const struct suspect_mark *mark,
+		 int64_t now)
+{
+	struct request *request = find_request(suspects, mark->fingerprint);
+	struct mark *known;
+	guint index;
+
+	if (has_completed(suspects, mark->fingerprint, now) ||
+	    now - mark->ended_ms > MARK_MAX_MS)
+		return false;
+	if (request == NULL)
+		request = create_request(suspects, mark->fingerprint);
+	if (request == NULL)
+		return false;
+	known = find_mark(request, mark, &index);
+	if (known != NULL) {
+		bool counted = counts(known);
+
+		known->public.evidence =
+			MAX(known->public.evidence, mark->evidence);
+		return counts(known) && !counted;
 	}
-	entry->last_ms = now;
-	g_ptr_array_add(entry->servers, g_strdup(server));
+	if (request->marks->len >= MARKS_MAX)
+		g_ptr_array_remove_index(request->marks, 0);
+	known = g_new0(struct mark, 1);
+	known->public = *mark;
+	known->server = g_strdup(mark->server);
+	known->public.server = known->server;
+	g_ptr_array_add(request->marks, known);
 	return true;
 }
 
+void suspect_remove(struct suspects *suspects, const struct suspect_mark *mark)
+{
+	gint64 key = (gint64)mark->fingerprint;
+	struct request *request = find_request(suspects, mark->fingerprint);
+	guint index;
+
+	if (request == NULL || find_mark(request, mark, &index) == NULL)
+		return;
+	g_ptr_array_remove_index(request->marks, index);
+	if (request->marks->len == 0)
+		g_hash_table_remove(suspects->requests, &key);
+}
+
+static void report(const struct suspects *suspects, const struct mark *mark,
+		   enum suspect_change change)
+{
+	suspects->handler.changed(suspects->handler.arg, &mark->public, change);
+}
+
+bool suspect_on_completed(struct suspects *suspects, uint64_t fingerprint,
+			  int64_t now)
+{
+	gint64 key = (gint64)fingerprint;
+	struct request *request = find_request(suspects, fingerprint);
+
+	*completed_slot(suspects, fingerprint) =
+		(struct completed){fingerprint, now};
+	if (request == NULL)
+		return false;
+	for (guint i = 0; i < request->marks->len; i++)
+		report(suspects, g_ptr_array_index(request->marks, i),
+		       SUSPECT_CLEARED);
+	g_hash_table_remove(suspects->requests, &key);
+	return true;
+}
+
+/* Decides an open mark; returns false if it is to be forgotten. */
+static bool settle_mark(struct suspects *suspects, struct mark *mark,
+			int64_t now)
+{
+	int64_t age_ms = now - mark->public.ended_ms;
+
+	if (age_ms > MARK_MAX_MS) {
+		report(suspects, mark, SUSPECT_EXPIRED);
+		return false;
+	}
+	if (mark->public.evidence == SUSPECT_CRASHED)
+		return true;
+	switch (suspects->handler.server(suspects->handler.arg,
+					 &mark->public)) {
+	case SUSPECT_SERVER_UNKNOWN:
+		return true;
+	case SUSPECT_SERVER_GONE:
+		report(suspects, mark, SUSPECT_CONFIRMED);
+		mark->public.evidence = SUSPECT_CRASHED;
+		return true;
+	case SUSPECT_SERVER_LISTED:
+		if (age_ms <= OPEN_MAX_MS)
+			return true;
+		break;
+	case SUSPECT_SERVER_ALIVE:
+		break;
+	}
+	report(suspects, mark, SUSPECT_DISPROVED);
+	return false;
+}
+
+static void settle_request(struct suspects *suspects, struct request *request,
+			   int64_t now)
+{
+	for (guint i = 0; i < request->marks->len;) {
+		if (settle_mark(suspects, g_ptr_array_index(request->marks, i),
+				now))
+			i++;
+		else
+			g_ptr_array_remove_index(request->marks, i);
+	}
+}
+
+void suspect_settle(struct suspects *suspects, int64_t now)
+{
+	GHashTableIter it;
+	gpointer request;
+
+	g_hash_table_iter_init(&it, suspects->requests);
+	while (g_hash_table_iter_next(&it, NULL, &request)) {
+		settle_request(suspects, request, now);
+		if (((struct request *)request)->marks->len == 0)
+			g_hash_table_iter_remove(&it);
+	}
+}
+
+/* For how long the request has the marks that it takes to refuse it: until the
+ * last of these may be forgotten. */
+static int64_t refusal_ms(const struct request *request, int64_t now)
+{
+	guint left = REFUSAL_SERVERS;
+	int64_t wait_ms = MARK_MAX_MS;
+
+	for (guint i = request->marks->len; i > 0 && left > 0; i--) {
+		const struct mark *mark =
+			g_ptr_array_index(request->marks, i - 1);
+		int64_t age_ms = now - mark->public.ended_ms;
+
+		if (!counts(mark))
+			continue;
+		left--;
+		wait_ms = MIN(wait_ms, mark->public.evidence == SUSPECT_CRASHED
+					       ? MARK_MAX_MS - age_ms
+					       : MAX(OPEN_MAX_MS - age_ms, 1));
+	}
+	return wait_ms;
+}
+
 bool suspect_is_refused(struct suspects *suspects, uint64_t fingerprint,
 			int64_t now, int64_t *wait_ms)
 {
-	gint64 key = (gint64)fingerprint;
-	struct entry *entry = g_hash_table_lookup(suspects->entries, &key);
+	struct request *request = find_request(suspects, fingerprint);
 
-	if (entry == NULL || is_expired(entry, now) ||
-	    entry->servers->len < REFUSAL_SERVERS)
+	if (request == NULL || count_marks(request) < REFUSAL_SERVERS)
 		return false;
-	*wait_ms = entry->last_ms + REFUSAL_MS - now;
+	settle_request(suspects, request, now);
+	if (count_marks(request) < REFUSAL_SERVERS)
+		return false;
+	*wait_ms = refusal_ms(request, now);
 	return true;
 }
 
+void suspect_foreach(struct suspects *suspects,
+		     void (*fn)(void *arg, const struct suspect_mark *mark),
+		     void *arg)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, suspects->requests);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct request *request = value;
+
+		for (guint i = 0; i < request->marks->len; i++) {
+			const struct mark *mark =
+				g_ptr_array_index(request->marks, i);
+
+			if (counts(mark))
+				fn(arg, &mark->public);
+		}
+	}
+}
+
 static uint64_t hash_bytes(uint64_t hash, const void *data, uint64_t len)
 {
 	const unsigned char *bytes = data;
@@ -113,12 +368,13 @@
 	return (hash ^ 0xff) * 0x100000001b3ULL;
 }
 
-uint64_t suspect_fingerprint(const char *account, const char *path,
-			     const void *body, uint64_t len)
+uint64_t suspect_fingerprint(const char *account, const char *method,
+			     const char *path, const void *body, uint64_t len)
 {
 	uint64_t hash = 0xcbf29ce484222325ULL;
 
 	hash = hash_bytes(hash, account, strlen(account));
+	hash = hash_bytes(hash, method, strlen(method));
 	hash = hash_bytes(hash, path, strlen(path));
 	return hash_bytes(hash, body, len);
 }
--- a/proto/rows.pb-c.c
+++ b/proto/rows.pb-c.c
@@ -1027,7 +1027,7 @@
   (ProtobufCMessageInit) rows__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rows__mark__field_descriptors[2] =
+static const ProtobufCFieldDescriptor rows__mark__field_descriptors[5] =
 {
   {
     "fingerprint",
@@ -1053,15 +1053,54 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "started_ms",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Rows__Mark, has_started_ms),
+    offsetof(Rows__Mark, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Rows__Mark, has_age_ms),
+    offsetof(Rows__Mark, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashed",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Rows__Mark, has_crashed),
+    offsetof(Rows__Mark, crashed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rows__mark__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  4,   /* field[4] = crashed */
   0,   /* field[0] = fingerprint */
   1,   /* field[1] = server */
+  2,   /* field[2] = started_ms */
 };
 static const ProtobufCIntRange rows__mark__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor rows__mark__descriptor =
 {
@@ -1071,7 +1110,7 @@
   "Rows__Mark",
   "rows",
   sizeof(Rows__Mark),
-  2,
+  5,
   rows__mark__field_descriptors,
   rows__mark__field_indices_by_name,
   1,  rows__mark__number_ranges,
--- a/proto/rows.pb-c.h
+++ b/proto/rows.pb-c.h
@@ -166,17 +166,32 @@
 
 
 /*
- * A request that was running when its backend server broke the connection.
+ * A request that may have crashed a backend server.
  */
 struct  Rows__Mark
 {
   ProtobufCMessage base;
   uint64_t fingerprint;
   char *server;
+  /*
+   * of that start of the server, by its clock
+   */
+  protobuf_c_boolean has_started_ms;
+  uint64_t started_ms;
+  /*
+   * time since the request ended there
+   */
+  protobuf_c_boolean has_age_ms;
+  uint32_t age_ms;
+  /*
+   * whether the server is known to have ended
+   */
+  protobuf_c_boolean has_crashed;
+  protobuf_c_boolean crashed;
 };
 #define ROWS__MARK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rows__mark__descriptor) \
-    , 0, NULL }
+    , 0, NULL, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -413,12 +413,11 @@
 		exch_reply_error(x, 503, "no service", 0);
 		return false;
 	}
-	x->fingerprint = suspect_fingerprint(exch_account_name(x), x->call.path,
-					     x->request->body->data,
-					     x->request->body->len);
+	x->fingerprint = suspect_fingerprint(
+		exch_account_name(x), x->request->method, x->call.path,
+		x->request->body->data, x->request->body->len);
 	if (x->request->body->len > 0 &&
-	    suspect_is_refused(x->shared->suspects, x->fingerprint,
-			       x->started_ms, &wait_ms)) {
+	    crash_is_refused(x->shared->crashes, x->fingerprint, &wait_ms)) {
 		stats_count(STATS_REFUSED_MARKED);
 		exch_reply_error(x, 503, "breaks servers", wait_ms);
 		return false;
--- a/serve/exchange.h
+++ b/serve/exchange.h
@@ -8,10 +8,10 @@
 #include <event2/event.h>
 
 #include "admission.h"
+#include "crashes.h"
 #include "decide/fleet.h"
 #include "decide/quota.h"
 #include "decide/server_limits.h"
-#include "decide/suspect.h"
 #include "inbound.h"
 #include "link_check.h"
 #include "members.h"
@@ -28,7 +28,7 @@
 	struct fleet *fleet;
 	struct quota *quota;
 	struct adm *admission;
-	struct suspects *suspects;
+	struct crashes *crashes;
 	struct slim *server_limits;
 	struct links *links;
 	struct lchk *link_check;
--- a/serve/exchange_retry.c
+++ b/serve/exchange_retry.c
@@ -61,13 +61,17 @@
 	}
 }
 
-static void log_suspected(const struct exch *x, const char *cause)
+/* The attempt may have crashed its server. */
+static void suspect_request(const struct exch *x,
+			    enum suspect_evidence evidence, const char *cause)
 {
-	stats_count(STATS_SUSPECTED);
-	slog("suspected", x->call.id,
-	     "\"fingerprint\":\"%016" G_GINT64_MODIFIER
-	     "x\",\"server\":%s,\"cause\":\"%s\",\"source\":\"own\"",
-	     x->fingerprint, slog_quote(x->server->id), cause);
+	struct crash_attempt attempt = {.id = x->call.id,
+					.fingerprint = x->fingerprint,
+					.server = x->server,
+					.evidence = evidence,
+					.cause = cause};
+
+	crash_on_attempt(x->shared->crashes, &attempt);
 }
 
 void exch_attempt_failed(struct exch *x, enum retry_failure failure,
@@ -83,13 +87,8 @@
 	if (!refused)
 		fleet_on_failure(x->server, now_ms);
 	if (failure == RETRY_INTERRUPTED && !x->response.encoded &&
-	    !x->head_received &&
-	    suspect_add(x->shared->suspects, x->fingerprint, x->server->id,
-			now_ms)) {
-		log_suspected(x, cause);
-		members_report_suspect(x->shared->members, x->fingerprint,
-				       x->server->id);
-	}
+	    !x->head_received)
+		suspect_request(x, SUSPECT_BROKEN, cause);
 	g_ptr_array_add(x->tried_servers, g_strdup(x->server->id));
 	resend_or_fail(x, failure, cause);
 }
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -213,8 +213,11 @@
 
 static void note_received(struct exch *x)
 {
+	int64_t now_ms = clock_boot_ms();
+
+	fleet_on_heard(x->server, now_ms);
 	if (x->tunnel == NULL)
-		links_on_received(x->shared->links, clock_boot_ms());
+		links_on_received(x->shared->links, now_ms);
 }
 
 static void on_connected(void *arg)
@@ -320,6 +323,7 @@
 		return;
 	}
 	fleet_on_response(x->server, x->status >= 500, clock_boot_ms());
+	crash_on_completed(x->shared->crashes, x->call.id, x->fingerprint);
 	if (x->later_events > 1)
 		fleet_update_event_gap(x->server, (double)(clock_boot_ms() -
 							   x->first_event_ms) /
--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -237,18 +237,11 @@
 				  : NULL;
 }
 
-static bool on_suspect(void *arg, uint64_t fingerprint, const char *server)
+static bool on_suspect(void *arg, const struct suspect_mark *mark)
 {
 	struct gw *gw = arg;
 
-	if (!suspect_add(gw->shared.suspects, fingerprint, server,
-			 clock_boot_ms()))
-		return false;
-	slog("suspected", NULL,
-	     "\"fingerprint\":\"%016" G_GINT64_MODIFIER
-	     "x\",\"server\":%s,\"source\":\"instance\"",
-	     fingerprint, slog_quote(server));
-	return true;
+	return crash_on_report(gw->shared.crashes, mark);
 }
 
 static void close_idle(struct fleet_server *server)
@@ -369,6 +362,7 @@
 			    forget_server_limit, gw);
 		log_totals(gw);
 	}
+	crash_tick(gw->shared.crashes);
 	slog_flush();
 }
 
@@ -464,7 +458,6 @@
 	shared->fleet = fleet_create(close_idle);
 	shared->quota = quota_create(settings->id, clock_boot_ms());
 	shared->admission = adm_create(gw->base, shared->quota);
-	shared->suspects = suspect_create();
 	shared->server_limits = slim_create();
 	shared->links = links_create();
 	shared->link_check =
@@ -475,11 +468,13 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	shared->watcher = watcher_create(gw->base, shared->store, shared->fleet,
 					 on_config, gw);
+	shared->crashes = crash_create(shared->fleet, shared->watcher);
 	config.store = shared->store;
 	config.quota = shared->quota;
 	config.server_limits = shared->server_limits;
 	shared->members = members_create(&config);
 	adm_set_members(shared->admission, shared->members);
+	crash_set_members(shared->crashes, shared->members);
 	if (shared->members == NULL)
 		fprintf(stderr,
 			"apricotshift: bind datagram socket on %s: %s\n",
@@ -531,12 +526,12 @@
 	sweeper_destroy(gw->sweeper);
 	members_destroy(shared->members);
 	lchk_destroy(shared->link_check);
+	crash_destroy(shared->crashes);
 	watcher_destroy(shared->watcher);
 	turns_destroy(shared->turns);
 	fleet_destroy(shared->fleet);
 	adm_destroy(shared->admission);
 	quota_destroy(shared->quota);
-	suspect_destroy(shared->suspects);
 	slim_destroy(shared->server_limits);
 	links_destroy(shared->links);
 	store_destroy(shared->store);
--- a/serve/members.h
+++ b/serve/members.h
@@ -16,6 +16,7 @@
 
 #include "decide/quota.h"
 #include "decide/server_limits.h"
+#include "decide/suspect.h"
 #include "platform/rowstore.h"
 
 struct members;
@@ -45,9 +46,9 @@
 	 * 0, @p wait_ms says when to ask again, or is 0. */
 	void (*on_lend)(void *arg, const char *account, uint32_t granted,
 			int64_t wait_ms, uint32_t serial);
-	/** Another instance ran a request with that fingerprint on @p server
-	 * when the server failed; returns false if that is known already. */
-	bool (*on_suspect)(void *arg, uint64_t fingerprint, const char *server);
+	/** Another instance suspects a request of having crashed a server;
+	 * returns false if that is known already. */
+	bool (*on_suspect)(void *arg, const struct suspect_mark *mark);
 	void *arg;
 };
 
@@ -84,10 +85,9 @@
  */
 uint32_t members_share_of(const struct members *members, const char *resource,
 			  uint32_t units);
-/** Reports to the others that @p server failed while it ran a request with that
- * fingerprint. */
-void members_report_suspect(struct members *members, uint64_t fingerprint,
-			    const char *server);
+/** Reports to the others a request that may have crashed a server. */
+void members_report_suspect(struct members *members,
+			    const struct suspect_mark *mark);
 /** Reports to the others what @p server has said about its rate limit. */
 void members_report_limit(struct members *members, const char *server);
 /** Asks @p instance to lend requests of the quota of an account, or of a
--- a/serve/members_int.h
+++ b/serve/members_int.h
@@ -40,8 +40,8 @@
 /** A report that is sent with the next datagrams. */
 struct news {
 	enum news_kind kind;
-	uint64_t fingerprint; /**< of the request, for NEWS_SUSPECT */
 	char *server;
+	struct suspect_mark mark; /**< for NEWS_SUSPECT, but its server */
 	int sends_left;
 };
 
--- a/serve/members_news.c
+++ b/serve/members_news.c
@@ -11,7 +11,7 @@
 	/* Each instance passes a report on so often; some datagrams get lost.
 	 */
 	NEWS_SENDS = 12,
-	LIMIT_AGE_MAX_MS = 3600000,
+	NEWS_AGE_MAX_MS = 3600000,
 };
 
 static void news_free(struct news *news)
@@ -20,22 +20,25 @@
 	g_free(news);
 }
 
-static void add_news(struct members *members, enum news_kind kind,
-		     uint64_t fingerprint, const char *server)
+static struct news *add_news(struct members *members, enum news_kind kind,
+			     const char *server)
 {
 	struct news *news = g_new0(struct news, 1);
 
 	news->kind = kind;
-	news->fingerprint = fingerprint;
 	news->server = g_strdup(server);
 	news->sends_left = NEWS_SENDS;
 	g_queue_push_tail(members->news, news);
+	return news;
 }
 
-void members_report_suspect(struct members *members, uint64_t fingerprint,
-			    const char *server)
+void members_report_suspect(struct members *members,
+			    const struct suspect_mark *mark)
 {
-	add_news(members, NEWS_SUSPECT, fingerprint, server);
+	struct news *news = add_news(members, NEWS_SUSPECT, mark->server);
+
+	news->mark = *mark;
+	news->mark.server = news->server;
 }
 
 void members_report_limit(struct members *members, const char *server)
@@ -49,7 +52,7 @@
 			return;
 		}
 	}
-	add_news(members, NEWS_SERVER_LIMIT, 0, server);
+	add_news(members, NEWS_SERVER_LIMIT, server);
 }
 
 bool members_news_fill_limit(const struct members *members, const char *server,
@@ -63,17 +66,24 @@
 	age_ms = clock_boot_ms() - limit.as_of_ms;
 	message->server = (char *)server;
 	message->per_s = limit.named ? (float)limit.per_s : 0;
-	message->age_ms = (uint32_t)CLAMP(age_ms, 0, LIMIT_AGE_MAX_MS);
+	message->age_ms = (uint32_t)CLAMP(age_ms, 0, NEWS_AGE_MAX_MS);
 	return true;
 }
 
 static void pack_suspect(const struct news *news, GPtrArray *marks)
 {
 	Rows__Mark *mark = g_new(Rows__Mark, 1);
+	int64_t age_ms = clock_boot_ms() - news->mark.ended_ms;
 
 	rows__mark__init(mark);
-	mark->fingerprint = news->fingerprint;
+	mark->fingerprint = news->mark.fingerprint;
 	mark->server = news->server;
+	mark->has_started_ms = true;
+	mark->started_ms = (uint64_t)news->mark.started_ms;
+	mark->has_age_ms = true;
+	mark->age_ms = (uint32_t)CLAMP(age_ms, 0, NEWS_AGE_MAX_MS);
+	mark->has_crashed = true;
+	mark->crashed = news->mark.evidence == SUSPECT_CRASHED;
 	g_ptr_array_add(marks, mark);
 }
 
@@ -152,16 +162,24 @@
 	members_report_limit(members, message->server);
 }
 
-void members_news_handle(struct members *members, const Rows__Probe *probe)
+static void handle_mark(struct members *members, const Rows__Mark *message)
 {
-	for (size_t i = 0; i < probe->n_marks; i++) {
-		const Rows__Mark *mark = probe->marks[i];
+	struct suspect_mark mark = {
+		.fingerprint = message->fingerprint,
+		.server = message->server,
+		.started_ms = (int64_t)message->started_ms,
+		.ended_ms = clock_boot_ms() - message->age_ms,
+		.evidence = message->crashed ? SUSPECT_CRASHED : SUSPECT_BROKEN,
+	};
 
-		if (members->config.on_suspect(members->config.arg,
-					       mark->fingerprint, mark->server))
-			members_report_suspect(members, mark->fingerprint,
-					       mark->server);
-	}
+	if (members->config.on_suspect(members->config.arg, &mark))
+		members_report_suspect(members, &mark);
+}
+
+void members_news_handle(struct members *members, const Rows__Probe *probe)
+{
+	for (size_t i = 0; i < probe->n_marks; i++)
+		handle_mark(members, probe->marks[i]);
 	for (size_t i = 0; i < probe->n_limits; i++)
 		members_news_handle_limit(members, probe->limits[i]);
 }
--- a/serve/watcher.c
+++ b/serve/watcher.c
@@ -33,7 +33,8 @@
 	GHashTable *seen;	   /* zones or ids found by a complete read */
 	bool following; /* read completely; the feed brings changes */
 	int64_t version;
-	bool failed;	/* the last call */
+	int64_t confirmed_ms; /* when the last call with a response was sent */
+	bool failed;	      /* the last call */
 	char *next_key; /* of a read of several pages; NULL: the first page */
 };
 
@@ -45,7 +46,6 @@
 	struct table_watch config;
 	struct table_watch servers;
 	struct catalog *catalog;
-	int64_t confirmed_ms;
 	GHashTable *evacuated_zones;
 	GHashTable *missing_servers; /* ids, to be removed by the timer */
 	struct event *removal_timer;
@@ -114,8 +114,8 @@
 		if (watch == &watch->watcher->servers && watch->following)
 			fleet_observe_versions(watch->watcher->fleet,
 					       clock_boot_ms());
-		if (watch == &watch->watcher->config && watch->following)
-			watch->watcher->confirmed_ms = reply->sent_ms;
+		if (watch->following)
+			watch->confirmed_ms = reply->sent_ms;
 	}
 	send_call(watch);
 }
@@ -346,6 +346,7 @@
 			struct event_base *base)
 {
 	watch->watcher = watcher;
+	watch->confirmed_ms = G_MININT32;
 	watch->retry_timer = evtimer_new(base, on_retry_timer, watch);
 	watch->seen =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -371,7 +372,6 @@
 	watcher->fleet = fleet;
 	watcher->callback = callback;
 	watcher->arg = arg;
-	watcher->confirmed_ms = G_MININT32;
 	watcher->evacuated_zones =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	watcher->missing_servers =
@@ -410,5 +410,10 @@
 
 int64_t watcher_config_age_ms(const struct watcher *watcher)
 {
-	return clock_boot_ms() - watcher->confirmed_ms;
+	return clock_boot_ms() - watcher->config.confirmed_ms;
+}
+
+int64_t watcher_servers_age_ms(const struct watcher *watcher)
+{
+	return clock_boot_ms() - watcher->servers.confirmed_ms;
 }
--- a/serve/watcher.h
+++ b/serve/watcher.h
@@ -27,5 +27,7 @@
 struct catalog *watcher_catalog(const struct watcher *watcher);
 /** Time since the configuration was last confirmed by the store. */
 int64_t watcher_config_age_ms(const struct watcher *watcher);
+/** Time since the list of servers was last confirmed by the store. */
+int64_t watcher_servers_age_ms(const struct watcher *watcher);
 
 #endif
--- a/test/unit/test_request.c
+++ b/test/unit/test_request.c
@@ -1,7 +1,7 @@
 /**
  * @file test_request.c
- * @brief Decisions about one request: its route, its retries, its history and
- * whether it is a suspect; and the splitting of event streams.
+ * @brief Decisions about one request: its route, its retries and its history;
+ * and the splitting of event streams.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -14,7 +14,6 @@
 #include "decide/catalog.h"
 #include "decide/history.h"
 #include "decide/retry.h"
-#include "decide/suspect.h"
 #include "serve/sse_splitter.h"
 
 static void add_route(struct catalog *catalog, const char *host,
@@ -148,38 +147,6 @@
 	hist_destroy(hist);
 }
 
-/* Guards against a request that crashes every server it runs on. */
-static void test_request_failing_on_three_servers_is_refused(void **state)
-{
-	struct suspects *suspects = suspect_create();
-	int64_t wait_ms;
-
-	(void)state;
-	assert_true(suspect_add(suspects, 7, "s1", 0));
-	assert_false(suspect_add(suspects, 7, "s1", 0));
-	assert_true(suspect_add(suspects, 7, "s2", 1000));
-	assert_false(suspect_is_refused(suspects, 7, 1000, &wait_ms));
-	assert_true(suspect_add(suspects, 7, "s3", 2000));
-	assert_true(suspect_is_refused(suspects, 7, 2000, &wait_ms));
-	assert_true(wait_ms > 0);
-	assert_false(suspect_is_refused(suspects, 8, 2000, &wait_ms));
-	assert_false(suspect_is_refused(suspects, 7, 200000, &wait_ms));
-	suspect_destroy(suspects);
-}
-
-static void test_failures_far_apart_are_ignored(void **state)
-{
-	struct suspects *suspects = suspect_create();
-	int64_t wait_ms;
-
-	(void)state;
-	suspect_add(suspects, 7, "s1", 0);
-	suspect_add(suspects, 7, "s2", 30000);
-	suspect_add(suspects, 7, "s3", 60000);
-	assert_false(suspect_is_refused(suspects, 7, 60000, &wait_ms));
-	suspect_destroy(suspects);
-}
-
 struct collected {
 	GString *data;
 	int64_t last_id;
@@ -228,9 +195,6 @@
 		cmocka_unit_test(test_maybe_executed_is_never_refused),
 		cmocka_unit_test(test_silence_timeout),
 		cmocka_unit_test(test_history_chain_and_size),
-		cmocka_unit_test(
-			test_request_failing_on_three_servers_is_refused),
-		cmocka_unit_test(test_failures_far_apart_are_ignored),
 		cmocka_unit_test(test_event_stream_split_anywhere),
 	};
 
--- /dev/null
+++ b/test/unit/test_suspect.c
@@ -0,0 +1,268 @@
+/** @file test_suspect.c @brief Which requests are refused for crashing servers.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "decide/suspect.h"
+
+enum {
+	REQUEST = 7,
+	OTHER_REQUEST = 8,
+	MINUTE_MS = 60000,
+	HOUR_MS = 3600000,
+	SETTLED_MS = 20000, /* by then a mark is decided */
+	MANY = 5000,	    /* requests, more than are kept */
+};
+
+/* What the test says of each server, and what became of marks. */
+struct view {
+	enum suspect_server server;
+	guint changes[SUSPECT_EXPIRED + 1];
+};
+
+static enum suspect_server server_of_mark(void *arg,
+					  const struct suspect_mark *mark)
+{
+	const struct view *view = arg;
+
+	(void)mark;
+	return view->server;
+}
+
+static void on_changed(void *arg, const struct suspect_mark *mark,
+		       enum suspect_change change)
+{
+	struct view *view = arg;
+
+	assert_non_null(mark->server);
+	view->changes[change]++;
+}
+
+static struct suspects *create(struct view *view)
+{
+	struct suspect_handler handler = {server_of_mark, on_changed, view};
+
+	return suspect_create(&handler);
+}
+
+static bool add(struct suspects *suspects, const char *server,
+		enum suspect_evidence evidence, int64_t now)
+{
+	struct suspect_mark mark = {REQUEST, server, 1, now, evidence};
+
+	return suspect_add(suspects, &mark, now);
+}
+
+static bool is_refused(struct suspects *suspects, int64_t now)
+{
+	int64_t wait_ms = 0;
+	bool refused = suspect_is_refused(suspects, REQUEST, now, &wait_ms);
+
+	assert_true(!refused || wait_ms > 0);
+	return refused;
+}
+
+static void test_three_broken_servers_refuse_at_once(void **state)
+{
+	struct view view = {SUSPECT_SERVER_LISTED, {0}};
+	struct suspects *suspects = create(&view);
+	int64_t wait_ms;
+
+	(void)state;
+	assert_true(add(suspects, "s1", SUSPECT_BROKEN, 0));
+	assert_false(add(suspects, "s1", SUSPECT_BROKEN, 0));
+	assert_true(add(suspects, "s2", SUSPECT_BROKEN, 1000));
+	assert_false(is_refused(suspects, 1000));
+	assert_true(add(suspects, "s3", SUSPECT_BROKEN, 2000));
+	assert_true(is_refused(suspects, 2000));
+	assert_false(
+		suspect_is_refused(suspects, OTHER_REQUEST, 2000, &wait_ms));
+	suspect_destroy(suspects);
+}
+
+static void test_starts_under_one_id_are_different_servers(void **state)
+{
+	struct view view = {SUSPECT_SERVER_GONE, {0}};
+	struct suspects *suspects = create(&view);
+
+	(void)state;
+	for (int64_t start = 1; start <= 3; start++) {
+		struct suspect_mark mark = {REQUEST, "s1", start, 0,
+					    SUSPECT_BROKEN};
+
+		assert_false(is_refused(suspects, 0));
+		assert_true(suspect_add(suspects, &mark, 0));
+	}
+	assert_true(is_refused(suspects, 0));
+	suspect_destroy(suspects);
+}
+
+static void test_crashes_minutes_apart_count(void **state)
+{
+	struct view view = {SUSPECT_SERVER_GONE, {0}};
+	struct suspects *suspects = create(&view);
+	int64_t now;
+
+	(void)state;
+	add(suspects, "s1", SUSPECT_BROKEN, 0);
+	suspect_settle(suspects, SETTLED_MS);
+	add(suspects, "s2", SUSPECT_BROKEN, 10 * MINUTE_MS);
+	suspect_settle(suspects, 10 * MINUTE_MS + SETTLED_MS);
+	add(suspects, "s3", SUSPECT_BROKEN, 20 * MINUTE_MS);
+	for (now = 20 * MINUTE_MS; now < HOUR_MS; now += MINUTE_MS) {
+		suspect_settle(suspects, now);
+		assert_true(is_refused(suspects, now));
+	}
+	suspect_settle(suspects, HOUR_MS + 1);
+	assert_false(is_refused(suspects, HOUR_MS + 1));
+	assert_int_equal(view.changes[SUSPECT_CONFIRMED], 3);
+	assert_int_equal(view.changes[SUSPECT_EXPIRED], 1);
+	suspect_destroy(suspects);
+}
+
+static void test_servers_that_live_acquit(void **state)
+{
+	struct view view = {SUSPECT_SERVER_LISTED, {0}};
+	struct suspects *suspects = create(&view);
+
+	(void)state;
+	add(suspects, "s1", SUSPECT_BROKEN, 0);
+	add(suspects, "s2", SUSPECT_BROKEN, 0);
+	add(suspects, "s3", SUSPECT_BROKEN, 0);
+	assert_true(is_refused(suspects, 0));
+	view.server = SUSPECT_SERVER_ALIVE;
+	assert_false(is_refused(suspects, 200));
+	assert_int_equal(view.changes[SUSPECT_DISPROVED], 3);
+	/* The same again, with servers that are listed all the while. */
+	view.server = SUSPECT_SERVER_LISTED;
+	add(suspects, "s1", SUSPECT_BROKEN, 1000);
+	add(suspects, "s2", SUSPECT_BROKEN, 1000);
+	add(suspects, "s3", SUSPECT_BROKEN, 1000);
+	suspect_settle(suspects, 2000);
+	assert_true(is_refused(suspects, 2000));
+	suspect_settle(suspects, 1000 + SETTLED_MS);
+	assert_false(is_refused(suspects, 1000 + SETTLED_MS));
+	/* Without a list nothing is decided. */
+	view.server = SUSPECT_SERVER_UNKNOWN;
+	add(suspects, "s1", SUSPECT_BROKEN, MINUTE_MS);
+	suspect_settle(suspects, 2 * MINUTE_MS);
+	assert_int_equal(view.changes[SUSPECT_DISPROVED], 6);
+	suspect_destroy(suspects);
+}
+
+static void test_silent_servers_count_once_gone(void **state)
+{
+	struct view view = {SUSPECT_SERVER_LISTED, {0}};
+	struct suspects *suspects = create(&view);
+
+	(void)state;
+	add(suspects, "s1", SUSPECT_SILENT, 0);
+	add(suspects, "s2", SUSPECT_SILENT, 0);
+	add(suspects, "s3", SUSPECT_SILENT, 0);
+	assert_false(is_refused(suspects, 0));
+	view.server = SUSPECT_SERVER_GONE;
+	suspect_settle(suspects, 5000);
+	assert_true(is_refused(suspects, 5000));
+	assert_int_equal(view.changes[SUSPECT_CONFIRMED], 3);
+	suspect_destroy(suspects);
+}
+
+static void test_silent_server_that_another_instance_saw_crash(void **state)
+{
+	struct view view = {SUSPECT_SERVER_LISTED, {0}};
+	struct suspects *suspects = create(&view);
+
+	(void)state;
+	assert_true(add(suspects, "s1", SUSPECT_SILENT, 0));
+	assert_true(add(suspects, "s1", SUSPECT_CRASHED, 0));
+	assert_false(add(suspects, "s1", SUSPECT_BROKEN, 0));
+	add(suspects, "s2", SUSPECT_CRASHED, 0);
+	add(suspects, "s3", SUSPECT_CRASHED, 0);
+	assert_true(is_refused(suspects, SETTLED_MS));
+	suspect_destroy(suspects);
+}
+
+/* Many callers send the same request, and three servers that have it crash for
+ * another reason. */
+static void test_request_that_completes_is_sound(void **state)
+{
+	struct view view = {SUSPECT_SERVER_GONE, {0}};
+	struct suspects *suspects = create(&view);
+
+	(void)state;
+	add(suspects, "s1", SUSPECT_BROKEN, 0);
+	add(suspects, "s2", SUSPECT_BROKEN, 0);
+	assert_true(suspect_on_completed(suspects, REQUEST, 100));
+	assert_int_equal(view.changes[SUSPECT_CLEARED], 2);
+	assert_false(add(suspects, "s3", SUSPECT_BROKEN, 200));
+	assert_false(add(suspects, "s4", SUSPECT_CRASHED, 200));
+	assert_false(add(suspects, "s5", SUSPECT_BROKEN, 200));
+	assert_false(is_refused(suspects, 200));
+	assert_false(suspect_on_completed(suspects, REQUEST, 300));
+	/* That does not last: servers of a new version may crash. */
+	add(suspects, "s6", SUSPECT_BROKEN, MINUTE_MS);
+	add(suspects, "s7", SUSPECT_BROKEN, MINUTE_MS);
+	add(suspects, "s8", SUSPECT_BROKEN, MINUTE_MS);
+	assert_true(is_refused(suspects, MINUTE_MS));
+	suspect_destroy(suspects);
+}
+
+static void test_refused_request_survives_many_others(void **state)
+{
+	struct view view = {SUSPECT_SERVER_GONE, {0}};
+	struct suspects *suspects = create(&view);
+
+	(void)state;
+	add(suspects, "s1", SUSPECT_BROKEN, 0);
+	add(suspects, "s2", SUSPECT_BROKEN, 0);
+	add(suspects, "s3", SUSPECT_BROKEN, 0);
+	for (uint64_t i = 0; i < MANY; i++) {
+		struct suspect_mark mark = {OTHER_REQUEST + i, "s1", 1,
+					    (int64_t)i, SUSPECT_BROKEN};
+
+		assert_true(suspect_add(suspects, &mark, (int64_t)i));
+	}
+	assert_true(is_refused(suspects, MANY));
+	suspect_destroy(suspects);
+}
+
+static void test_fingerprint_tells_requests_apart(void **state)
+{
+	uint64_t first = suspect_fingerprint("a", "POST", "/p", "body", 4);
+
+	(void)state;
+	assert_true(first == suspect_fingerprint("a", "POST", "/p", "body", 4));
+	assert_false(first ==
+		     suspect_fingerprint("b", "POST", "/p", "body", 4));
+	assert_false(first == suspect_fingerprint("a", "PUT", "/p", "body", 4));
+	assert_false(first ==
+		     suspect_fingerprint("a", "POST", "/p?q", "body", 4));
+	assert_false(first ==
+		     suspect_fingerprint("a", "POST", "/p", "bodies", 6));
+	assert_false(suspect_fingerprint("a", "GET", "/p", "", 0) ==
+		     suspect_fingerprint("a", "GET", "", "/p", 2));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_three_broken_servers_refuse_at_once),
+		cmocka_unit_test(
+			test_starts_under_one_id_are_different_servers),
+		cmocka_unit_test(test_crashes_minutes_apart_count),
+		cmocka_unit_test(test_servers_that_live_acquit),
+		cmocka_unit_test(test_silent_servers_count_once_gone),
+		cmocka_unit_test(
+			test_silent_server_that_another_instance_saw_crash),
+		cmocka_unit_test(test_request_that_completes_is_sound),
+		cmocka_unit_test(test_refused_request_survives_many_others),
+		cmocka_unit_test(test_fingerprint_tells_requests_apart),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
