Ask before each attempt whether a request crashes servers

A request that its instance had learned of meanwhile was sent all the same: to its next server, or after it had waited for one.

Cause: it was asked once, when the request came in. exch_send() asks now, which each attempt passes through. A request of which nothing has run is refused with the time to come back; one that may have run fails, and a stream that has begun is broken off: its next server would crash too.

--- a/serve/exchange_retry.c
+++ b/serve/exchange_retry.c
@@ -194,12 +194,28 @@
 			    retry_after_ms);
 }
 
+/* The request has become known to crash servers since it came in. */
+static void stop_crashing(struct exch *x, int64_t wait_ms)
+{
+	if (x->retry.response_started || x->retry.possible_runs > 0)
+		exch_fail(x, "breaks servers", 502);
+	else
+		exch_refuse(x, STATS_REFUSED_MARKED, 503, "breaks servers",
+			    wait_ms);
+}
+
 void exch_send(struct exch *x)
 {
 	int64_t now_ms = clock_boot_ms();
+	int64_t wait_ms;
 	enum fleet_pick_status why;
-	struct fleet_server *server = exch_pick(x, now_ms, &why);
+	struct fleet_server *server;
 
+	if (crash_is_refused(x->shared->crashes, x->fingerprint, &wait_ms)) {
+		stop_crashing(x, wait_ms);
+		return;
+	}
+	server = exch_pick(x, now_ms, &why);
 	if (server == NULL)
 		on_no_server(x, why, now_ms);
 	else if (exch_has_rate_limit(x, server))
