Suspect requests that break a stream, or whose server falls silent and is gone

A request that crashes its server after the first event, or without closing a connection (loss of power), was sent on for ever; also where its caller or its deadline ended the attempt before anybody knew.

Cause: only connections that broke before the head of the response were recorded. exch_suspect() now records each attempt that may have run and ended without a complete response: broken ones count at once, unless the server shows later that it lives; those given up (silence, deadline, a caller that left) count once the list says that the server is gone and nothing was heard of it since. Responses that are unusable but whole are no longer recorded: their server lives.

--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -167,6 +167,8 @@
 			     &x->overtime_until_ms))
 		return;
 	stats_count(STATS_TIMED_OUT);
+	if (x->upstream != NULL)
+		exch_suspect(x, SUSPECT_SILENT, "out of time");
 	if (!x->retry.response_started && x->retry.possible_runs == 0 &&
 	    x->upstream == NULL && x->retry.sends == 0)
 		exch_refuse(x, STATS_REFUSED_FULL, 503, "out of time", 0);
@@ -481,6 +483,8 @@
 	if (x == NULL)
 		return;
 	stats_count(STATS_CALLER_LEFT);
+	if (x->upstream != NULL)
+		exch_suspect(x, SUSPECT_SILENT, "caller left");
 	exch_log_end(x, "caller left", 0);
 	exch_free(x);
 }
--- a/serve/exchange_int.h
+++ b/serve/exchange_int.h
@@ -126,6 +126,9 @@
 /** Handles another instance that did not carry the connection; the server has
  * nothing to do with that. */
 void exch_tunnel_failed(struct exch *x, const char *cause);
+/** Records that the attempt may have crashed its server. */
+void exch_suspect(const struct exch *x, enum suspect_evidence evidence,
+		  const char *cause);
 /** Handles an attempt that ended without a complete response. */
 void exch_attempt_failed(struct exch *x, enum retry_failure failure,
 			 const char *cause);
--- a/serve/exchange_retry.c
+++ b/serve/exchange_retry.c
@@ -61,9 +61,8 @@
 	}
 }
 
-/* The attempt may have crashed its server. */
-static void suspect_request(const struct exch *x,
-			    enum suspect_evidence evidence, const char *cause)
+void exch_suspect(const struct exch *x, enum suspect_evidence evidence,
+		  const char *cause)
 {
 	struct crash_attempt attempt = {.id = x->call.id,
 					.fingerprint = x->fingerprint,
@@ -86,9 +85,6 @@
 				g_strdup(x->server->id));
 	if (!refused)
 		fleet_on_failure(x->server, now_ms);
-	if (failure == RETRY_INTERRUPTED && !x->response.encoded &&
-	    !x->head_received)
-		suspect_request(x, SUSPECT_BROKEN, cause);
 	g_ptr_array_add(x->tried_servers, g_strdup(x->server->id));
 	resend_or_fail(x, failure, cause);
 }
@@ -153,6 +149,7 @@
 	}
 	upstream_cancel(x->upstream);
 	x->upstream = NULL;
+	exch_suspect(x, SUSPECT_SILENT, "server silent");
 	exch_attempt_failed(x, RETRY_INTERRUPTED, "server silent");
 }
 
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -338,6 +338,13 @@
 	complete_stream(x);
 }
 
+/* Handles a response that broke off. */
+static void on_broken(struct exch *x, const char *cause)
+{
+	exch_suspect(x, SUSPECT_BROKEN, cause);
+	exch_attempt_failed(x, RETRY_INTERRUPTED, cause);
+}
+
 static void on_end(void *arg, enum upstream_result result, const char *step)
 {
 	struct exch *x = arg;
@@ -346,7 +353,7 @@
 	event_del(x->timer);
 	if (result == UPSTREAM_COMPLETE && x->streaming &&
 	    splitter_pending(x->splitter) > 0)
-		exch_attempt_failed(x, RETRY_INTERRUPTED, "event cut off");
+		on_broken(x, "event cut off");
 	else if (result == UPSTREAM_COMPLETE)
 		on_complete_response(x);
 	else if (result == UPSTREAM_NO_TUNNEL)
@@ -356,7 +363,7 @@
 	else if (result == UPSTREAM_NOT_SENT)
 		exch_attempt_failed(x, RETRY_NOT_SENT, step);
 	else
-		exch_attempt_failed(x, RETRY_INTERRUPTED, step);
+		on_broken(x, step);
 }
 
 static const struct upstream_handler server_handler = {
--- a/test/unit/test_crashing_request.c
+++ b/test/unit/test_crashing_request.c
@@ -31,6 +31,7 @@
 	SILENT_DOWN_MS = 1800,	  /* of a server that falls silent */
 	UNLISTED_AFTER_MS = 1500, /* the entry of a silent server is removed */
 	RETRY_GAP_MS = 100,
+	LEAVE_MS = 200, /* a caller waits */
 };
 
 /* A server and its starts. */
@@ -52,6 +53,7 @@
 	enum backend_crash how;
 	bool is_silent;	  /* connections stay open */
 	bool keeps_id;	  /* a server starts again under its id */
+	bool is_left;	  /* the caller disconnects before the response */
 	guint count;	  /* servers that have crashed */
 	int64_t third_ms; /* when the third one did */
 };
@@ -172,7 +174,8 @@
 
 	fixture_send(&response, gateway, method, path, headers,
 		     crashes->body ? crashes->body : "");
-	run_until(crashes, &response.done, RESPONSE_TIMEOUT_MS);
+	run_until(crashes, &response.done,
+		  crashes->is_left ? LEAVE_MS : RESPONSE_TIMEOUT_MS);
 	status = response.status;
 	fixture_response_clear(&response);
 	g_free(headers);
@@ -238,6 +241,16 @@
 	try_often(&crashes, TRIES, "POST", "/order/x");
 }
 
+static void test_crash_after_the_caller_left(void **state)
+{
+	struct crashes crashes = {
+		.body = BODY, .is_silent = true, .is_left = true};
+
+	(void)state;
+	set_up_servers(&crashes, false);
+	try_often(&crashes, TRIES, "POST", "/order/x");
+}
+
 static void test_crash_of_a_server_that_keeps_its_id(void **state)
 {
 	struct crashes crashes = {.body = BODY, .keeps_id = true};
@@ -340,6 +353,7 @@
 		FIXTURE_TEST(test_crashing_request_without_body),
 		FIXTURE_TEST(test_crash_in_a_stream),
 		FIXTURE_TEST(test_crash_of_servers_that_fall_silent),
+		FIXTURE_TEST(test_crash_after_the_caller_left),
 		FIXTURE_TEST(test_crash_of_a_server_that_keeps_its_id),
 		FIXTURE_TEST(test_crashes_are_known_after_restarts),
 		FIXTURE_TEST(test_crashes_are_known_after_a_kill_of_all),
