follow: following a table of the store leaves watcher.c

watcher.c held both how a table is read and followed, and what its rows mean, with special cases for its two tables in the shared part.

--- a/serve/watcher.c
+++ b/serve/watcher.c
@@ -5,6 +5,7 @@
 
 #include "clock.h"
 #include "decide/catdiff.h"
+#include "follow.h"
 #include "platform/wire.h"
 #include "slog.h"
 #include "stats.h"
@@ -14,127 +15,27 @@
 	CONFIG_POLL_MS = 1000,	/* bounds the age of the configuration */
 	SERVERS_POLL_MS = 1500, /* bounds the time until a dead feed ends */
 	RETRY_DELAY_MS = 60,
-	PROBE_POLL_MS = 20, /* while the store seems to be unreachable */
 	/* Servers whose entries expired in an outage are listed again by then.
 	 */
 	REREGISTER_MS = 2000,
 	ZONE_COLD_MS = 4000, /* for servers of a zone that is back in service */
 };
 
-/* One table that is read completely and then followed. */
-struct table_watch {
-	struct watcher *watcher;
-	const char *table;
-	int64_t poll_ms;
-	void (*on_row)(struct watcher *watcher, const struct store_row *row);
-	void (*on_read)(struct watcher *watcher); /* all rows were read */
-	struct store_call *call;
-	struct event *retry_timer; /* the next call after a failure */
-	GHashTable *seen;	   /* zones or ids found by a complete read */
-	bool following; /* read completely; the feed brings changes */
-	int64_t version;
-	int64_t confirmed_ms; /* when the last call with a response was sent */
-	bool failed;	      /* the last call */
-	char *next_key; /* of a read of several pages; NULL: the first page */
-};
-
 struct watcher {
 	struct store *store;
 	struct fleet *fleet;
 	watcher_callback *callback;
 	void *arg;
-	struct table_watch config;
-	struct table_watch servers;
+	struct follow *operators; /* the configuration, and zones */
+	struct follow *servers;
+	GHashTable *seen_zones;	  /* by a complete read of the operators */
+	GHashTable *seen_servers; /* ids, by a complete read of the servers */
 	struct catalog *catalog;
 	GHashTable *evacuated_zones;
 	GHashTable *missing_servers; /* ids, to be removed by the timer */
 	struct event *removal_timer;
 };
 
-static void send_call(struct table_watch *watch);
-
-static void schedule_call(struct table_watch *watch, int64_t delay_ms)
-{
-	struct timeval tv = clock_timeval(delay_ms);
-
-	event_add(watch->retry_timer, &tv);
-}
-
-static void on_retry_timer(evutil_socket_t fd, short what, void *arg)
-{
-	(void)fd;
-	(void)what;
-	send_call(arg);
-}
-
-/* Handles a page of a complete read. */
-static void on_page(struct table_watch *watch,
-		    const struct store_response *reply)
-{
-	g_clear_pointer(&watch->next_key, g_free);
-	if (reply->more && reply->rows->len > 0) {
-		const struct store_row *last = &g_array_index(
-			reply->rows, struct store_row, reply->rows->len - 1);
-
-		watch->next_key = store_key_after(last->key);
-		return;
-	}
-	watch->on_read(watch->watcher);
-	watch->following = true;
-}
-
-static void on_reply(void *arg, const struct store_response *reply)
-{
-	struct table_watch *watch = arg;
-	bool first_page = watch->next_key == NULL;
-
-	watch->call = NULL;
-	if (reply->result == STORE_FEED_GAP) {
-		slog("history_lost", NULL, "\"table\":\"%s\"", watch->table);
-		watch->following = false;
-		g_hash_table_remove_all(watch->seen);
-	} else if (reply->result != STORE_OK) {
-		watch->failed = true;
-		schedule_call(watch, RETRY_DELAY_MS);
-		return;
-	} else {
-		watch->failed = false;
-		for (guint i = 0; i < reply->rows->len; i++)
-			watch->on_row(watch->watcher,
-				      &g_array_index(reply->rows,
-						     struct store_row, i));
-		if (!watch->following) {
-			/* Changes after the first page come with the feed. */
-			if (first_page)
-				watch->version = reply->version;
-			on_page(watch, reply);
-		} else {
-			watch->version = MAX(watch->version, reply->version);
-		}
-		if (watch == &watch->watcher->servers && watch->following)
-			fleet_observe_versions(watch->watcher->fleet,
-					       clock_boot_ms());
-		if (watch->following)
-			watch->confirmed_ms = reply->sent_ms;
-	}
-	send_call(watch);
-}
-
-static void send_call(struct table_watch *watch)
-{
-	struct store *store = watch->watcher->store;
-	/* A short poll shows at once that the store is reachable again. */
-	int64_t poll_ms = watch->failed ? PROBE_POLL_MS : watch->poll_ms;
-
-	if (watch->following)
-		watch->call = store_feed(store, watch->table, watch->version,
-					 poll_ms, on_reply, watch);
-	else
-		watch->call =
-			store_read(store, watch->table, "", watch->next_key,
-				   NULL, on_reply, watch);
-}
-
 static void log_change(const char *kind, const char *name, const char *change,
 		       const char *details, void *arg)
 {
@@ -189,9 +90,9 @@
 	watcher->callback(watcher->arg, catalog);
 }
 
-static void apply_operator_row(struct watcher *watcher,
-			       const struct store_row *row)
+static void apply_operator_row(void *arg, const struct store_row *row)
 {
+	struct watcher *watcher = arg;
 	const char *zone;
 
 	if (strcmp(row->key, WIRE_KEY_CONFIG) == 0) {
@@ -203,7 +104,7 @@
 	zone = row->key + strlen(WIRE_KEY_EVACUATE);
 	if (row->value != NULL) {
 		g_hash_table_add(watcher->evacuated_zones, g_strdup(zone));
-		g_hash_table_add(watcher->config.seen, g_strdup(zone));
+		g_hash_table_add(watcher->seen_zones, g_strdup(zone));
 	} else {
 		g_hash_table_remove(watcher->evacuated_zones, zone);
 	}
@@ -219,11 +120,20 @@
 	return !g_hash_table_contains(seen, zone);
 }
 
+static void on_operators_begin(void *arg)
+{
+	struct watcher *watcher = arg;
+
+	g_hash_table_remove_all(watcher->seen_zones);
+}
+
 /* All operator rows have been read: zones without a row are in service. */
-static void on_operators_read(struct watcher *watcher)
+static void on_operators_read(void *arg)
 {
+	struct watcher *watcher = arg;
+
 	g_hash_table_foreach_remove(watcher->evacuated_zones, is_unseen,
-				    watcher->config.seen);
+				    watcher->seen_zones);
 	fleet_set_evacuated(watcher->fleet, watcher->evacuated_zones,
 			    clock_boot_ms(), ZONE_COLD_MS);
 }
@@ -237,7 +147,7 @@
 static int64_t removal_delay_ms(const struct watcher *watcher)
 {
 	int64_t recovered_ms =
-		store_recovered_ms(watcher->store, watcher->servers.table);
+		store_recovered_ms(watcher->store, WIRE_TABLE_SERVERS);
 	int64_t left_ms = recovered_ms + REREGISTER_MS - clock_boot_ms();
 
 	return recovered_ms > 0 && left_ms > 0 ? left_ms : 0;
@@ -285,9 +195,9 @@
 		remove_missing(watcher);
 }
 
-static void apply_server_row(struct watcher *watcher,
-			     const struct store_row *row)
+static void apply_server_row(void *arg, const struct store_row *row)
 {
+	struct watcher *watcher = arg;
 	struct fleet_entry entry;
 	json_object *root = NULL;
 	const char *text;
@@ -308,8 +218,8 @@
 		return;
 	}
 	g_hash_table_remove(watcher->missing_servers, row->key);
-	if (!watcher->servers.following)
-		g_hash_table_add(watcher->servers.seen, g_strdup(row->key));
+	if (!follow_has_read(watcher->servers))
+		g_hash_table_add(watcher->seen_servers, g_strdup(row->key));
 	if (fleet_update(watcher->fleet, &entry, clock_boot_ms()))
 		slog("server", NULL,
 		     "\"server\":%s,\"state\":\"%s\",\"peer\":%s,"
@@ -325,14 +235,22 @@
 {
 	struct watcher *watcher = arg;
 
-	if (!g_hash_table_contains(watcher->servers.seen, server->id))
+	if (!g_hash_table_contains(watcher->seen_servers, server->id))
 		g_hash_table_add(watcher->missing_servers,
 				 g_strdup(server->id));
 }
 
+static void on_servers_begin(void *arg)
+{
+	struct watcher *watcher = arg;
+
+	g_hash_table_remove_all(watcher->seen_servers);
+}
+
 /* All servers have been read: those that are not in the list are gone. */
-static void on_servers_read(struct watcher *watcher)
+static void on_servers_read(void *arg)
 {
+	struct watcher *watcher = arg;
 	int64_t delay_ms = removal_delay_ms(watcher);
 
 	fleet_foreach(watcher->fleet, add_if_missing, watcher);
@@ -342,24 +260,11 @@
 		remove_missing(watcher);
 }
 
-static void watch_start(struct table_watch *watch, struct watcher *watcher,
-			struct event_base *base)
+static void on_servers_current(void *arg)
 {
-	watch->watcher = watcher;
-	watch->confirmed_ms = G_MININT32;
-	watch->retry_timer = evtimer_new(base, on_retry_timer, watch);
-	watch->seen =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	send_call(watch);
-}
+	struct watcher *watcher = arg;
 
-static void watch_stop(struct table_watch *watch)
-{
-	if (watch->call != NULL)
-		store_cancel(watch->call);
-	event_free(watch->retry_timer);
-	g_hash_table_destroy(watch->seen);
-	g_free(watch->next_key);
+	fleet_observe_versions(watcher->fleet, clock_boot_ms());
 }
 
 struct watcher *watcher_create(struct event_base *base, struct store *store,
@@ -367,6 +272,29 @@
 			       void *arg)
 {
 	struct watcher *watcher = g_new0(struct watcher, 1);
+	struct follow_config operators = {
+		.base = base,
+		.store = store,
+		.table = WIRE_TABLE_OPERATORS,
+		.poll_ms = CONFIG_POLL_MS,
+		.retry_ms = RETRY_DELAY_MS,
+		.on_begin = on_operators_begin,
+		.on_row = apply_operator_row,
+		.on_read = on_operators_read,
+		.arg = watcher,
+	};
+	struct follow_config servers = {
+		.base = base,
+		.store = store,
+		.table = WIRE_TABLE_SERVERS,
+		.poll_ms = SERVERS_POLL_MS,
+		.retry_ms = RETRY_DELAY_MS,
+		.on_begin = on_servers_begin,
+		.on_row = apply_server_row,
+		.on_read = on_servers_read,
+		.on_current = on_servers_current,
+		.arg = watcher,
+	};
 
 	watcher->store = store;
 	watcher->fleet = fleet;
@@ -377,16 +305,12 @@
 	watcher->missing_servers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	watcher->removal_timer = evtimer_new(base, on_removal_timer, watcher);
-	watcher->config.table = WIRE_TABLE_OPERATORS;
-	watcher->config.poll_ms = CONFIG_POLL_MS;
-	watcher->config.on_row = apply_operator_row;
-	watcher->config.on_read = on_operators_read;
-	watcher->servers.table = WIRE_TABLE_SERVERS;
-	watcher->servers.poll_ms = SERVERS_POLL_MS;
-	watcher->servers.on_row = apply_server_row;
-	watcher->servers.on_read = on_servers_read;
-	watch_start(&watcher->config, watcher, base);
-	watch_start(&watcher->servers, watcher, base);
+	watcher->seen_zones =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	watcher->seen_servers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	watcher->operators = follow_create(&operators);
+	watcher->servers = follow_create(&servers);
 	return watcher;
 }
 
@@ -394,9 +318,11 @@
 {
 	if (watcher == NULL)
 		return;
-	watch_stop(&watcher->config);
-	watch_stop(&watcher->servers);
+	follow_destroy(watcher->operators);
+	follow_destroy(watcher->servers);
 	event_free(watcher->removal_timer);
+	g_hash_table_destroy(watcher->seen_zones);
+	g_hash_table_destroy(watcher->seen_servers);
 	g_hash_table_destroy(watcher->evacuated_zones);
 	g_hash_table_destroy(watcher->missing_servers);
 	cat_unref(watcher->catalog);
@@ -410,10 +336,10 @@
 
 int64_t watcher_config_age_ms(const struct watcher *watcher)
 {
-	return clock_boot_ms() - watcher->config.confirmed_ms;
+	return follow_age_ms(watcher->operators);
 }
 
 int64_t watcher_servers_age_ms(const struct watcher *watcher)
 {
-	return clock_boot_ms() - watcher->servers.confirmed_ms;
+	return follow_age_ms(watcher->servers);
 }
