Keep what is known of crashing requests in the store

After instances were replaced, or all killed, a request that had crashed three servers was let in again by each of those that started: callers saw it run three times more for each restart of all.

Cause: the marks lay in the memory of each instance, and were told to the others a bounded number of times.

serve/crash_rows keeps each mark as a row of aps-crashes, written 0.1 s after the crash (many marks are disproved or cleared by then), removed when the mark is disproved or its request completes, or after an hour. Each instance reads the table at its start and follows it with one call in 25 s; after an outage that call is sent anew, since it may wait on a dead connection. Datagrams stay, as the faster way. An instance that saw a crash and ended before it wrote the mark is replaced by the one that rendezvous hashing names, once the server is gone. A planned stop writes what is left. Weighed and left: marks asked of another instance at the start (lost with a kill of all); a poll each second (2 calls a second more on a site of two instances, 295 on the large one).

--- a/decide/suspect.c
+++ b/decide/suspect.c
@@ -79,16 +79,11 @@
 	return g_hash_table_lookup(suspects->requests, &key);
 }
 
-static struct completed *completed_slot(struct suspects *suspects,
-					uint64_t fingerprint)
+bool suspect_has_completed(const struct suspects *suspects,
+			   uint64_t fingerprint, int64_t now)
 {
-	return &suspects->completed[fingerprint % COMPLETED_SLOTS];
-}
-
-static bool has_completed(struct suspects *suspects, uint64_t fingerprint,
-			  int64_t now)
-{
-	const struct completed *slot = completed_slot(suspects, fingerprint);
+	const struct completed *slot =
+		&suspects->completed[fingerprint % COMPLETED_SLOTS];
 
 	return slot->fingerprint == fingerprint && slot->at_ms > 0 &&
 	       now - slot->at_ms <= COMPLETED_MS;
@@ -185,7 +180,7 @@
 	struct mark *known;
 	guint index;
 
-	if (has_completed(suspects, mark->fingerprint, now) ||
+	if (suspect_has_completed(suspects, mark->fingerprint, now) ||
 	    now - mark->ended_ms > MARK_MAX_MS)
 		return false;
 	if (request == NULL)
@@ -235,7 +230,7 @@
 	gint64 key = (gint64)fingerprint;
 	struct request *request = find_request(suspects, fingerprint);
 
-	*completed_slot(suspects, fingerprint) =
+	suspects->completed[fingerprint % COMPLETED_SLOTS] =
 		(struct completed){fingerprint, now};
 	if (request == NULL)
 		return false;
@@ -338,27 +333,6 @@
 	return true;
 }
 
-void suspect_foreach(struct suspects *suspects,
-		     void (*fn)(void *arg, const struct suspect_mark *mark),
-		     void *arg)
-{
-	GHashTableIter it;
-	gpointer value;
-
-	g_hash_table_iter_init(&it, suspects->requests);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct request *request = value;
-
-		for (guint i = 0; i < request->marks->len; i++) {
-			const struct mark *mark =
-				g_ptr_array_index(request->marks, i);
-
-			if (counts(mark))
-				fn(arg, &mark->public);
-		}
-	}
-}
-
 static uint64_t hash_bytes(uint64_t hash, const void *data, uint64_t len)
 {
 	const unsigned char *bytes = data;
--- a/decide/suspect.h
+++ b/decide/suspect.h
@@ -75,16 +75,15 @@
 /** A server ran the request to the end; returns whether it had marks. */
 bool suspect_on_completed(struct suspects *suspects, uint64_t fingerprint,
 			  int64_t now);
+/** Whether a server ran the request to the end a short while ago. */
+bool suspect_has_completed(const struct suspects *suspects,
+			   uint64_t fingerprint, int64_t now);
 /** Decides open marks by what is known of their servers by now, and forgets
  * expired ones. */
 void suspect_settle(struct suspects *suspects, int64_t now);
 /** Whether the request is refused; @p wait_ms receives for how much longer. */
 bool suspect_is_refused(struct suspects *suspects, uint64_t fingerprint,
 			int64_t now, int64_t *wait_ms);
-/** Calls @p fn for each mark that counts. */
-void suspect_foreach(struct suspects *suspects,
-		     void (*fn)(void *arg, const struct suspect_mark *mark),
-		     void *arg);
 /** Returns the fingerprint of a request. */
 uint64_t suspect_fingerprint(const char *account, const char *method,
 			     const char *path, const void *body, uint64_t len);
--- a/proto/rows.pb-c.c
+++ b/proto/rows.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &rows__expiry__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rows__crash__init
+                     (Rows__Crash         *message)
+{
+  static const Rows__Crash init_value = ROWS__CRASH__INIT;
+  *message = init_value;
+}
+size_t rows__crash__get_packed_size
+                     (const Rows__Crash *message)
+{
+  assert(message->base.descriptor == &rows__crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rows__crash__pack
+                     (const Rows__Crash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rows__crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rows__crash__pack_to_buffer
+                     (const Rows__Crash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rows__crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rows__Crash *
+       rows__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rows__Crash *)
+     protobuf_c_message_unpack (&rows__crash__descriptor,
+                                allocator, len, data);
+}
+void   rows__crash__free_unpacked
+                     (Rows__Crash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rows__crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rows__member__init
                      (Rows__Member         *message)
 {
@@ -873,6 +918,96 @@
   (ProtobufCMessageInit) rows__expiry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rows__crash__field_descriptors[5] =
+{
+  {
+    "fingerprint",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Crash, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Crash, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Crash, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_ms",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Crash, ended_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "confirmed",
+    5,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Crash, confirmed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rows__crash__field_indices_by_name[] = {
+  4,   /* field[4] = confirmed */
+  3,   /* field[3] = ended_ms */
+  0,   /* field[0] = fingerprint */
+  1,   /* field[1] = server */
+  2,   /* field[2] = started_ms */
+};
+static const ProtobufCIntRange rows__crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor rows__crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rows.Crash",
+  "Crash",
+  "Rows__Crash",
+  "rows",
+  sizeof(Rows__Crash),
+  5,
+  rows__crash__field_descriptors,
+  rows__crash__field_indices_by_name,
+  1,  rows__crash__number_ranges,
+  (ProtobufCMessageInit) rows__crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor rows__member__field_descriptors[5] =
 {
   {
--- a/proto/rows.pb-c.h
+++ b/proto/rows.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct Rows__Program Rows__Program;
 typedef struct Rows__Turn Rows__Turn;
 typedef struct Rows__Expiry Rows__Expiry;
+typedef struct Rows__Crash Rows__Crash;
 typedef struct Rows__Member Rows__Member;
 typedef struct Rows__Demand Rows__Demand;
 typedef struct Rows__Mark Rows__Mark;
@@ -120,6 +121,35 @@
     , 0 }
 
 
+/*
+ * A request that crashed a backend server, or may have.
+ */
+struct  Rows__Crash
+{
+  ProtobufCMessage base;
+  /*
+   * of the request
+   */
+  uint64_t fingerprint;
+  char *server;
+  /*
+   * of that start of the server, by its clock
+   */
+  uint64_t started_ms;
+  /*
+   * when the request ended, by the store's clock
+   */
+  uint64_t ended_ms;
+  /*
+   * whether the server is known to have ended
+   */
+  protobuf_c_boolean confirmed;
+};
+#define ROWS__CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rows__crash__descriptor) \
+    , 0, NULL, 0, 0, 0 }
+
+
 struct  Rows__Member
 {
   ProtobufCMessage base;
@@ -458,6 +488,25 @@
 void   rows__expiry__free_unpacked
                      (Rows__Expiry *message,
                       ProtobufCAllocator *allocator);
+/* Rows__Crash methods */
+void   rows__crash__init
+                     (Rows__Crash         *message);
+size_t rows__crash__get_packed_size
+                     (const Rows__Crash   *message);
+size_t rows__crash__pack
+                     (const Rows__Crash   *message,
+                      uint8_t             *out);
+size_t rows__crash__pack_to_buffer
+                     (const Rows__Crash   *message,
+                      ProtobufCBuffer     *buffer);
+Rows__Crash *
+       rows__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rows__crash__free_unpacked
+                     (Rows__Crash *message,
+                      ProtobufCAllocator *allocator);
 /* Rows__Member methods */
 void   rows__member__init
                      (Rows__Member         *message);
@@ -681,6 +730,9 @@
 typedef void (*Rows__Expiry_Closure)
                  (const Rows__Expiry *message,
                   void *closure_data);
+typedef void (*Rows__Crash_Closure)
+                 (const Rows__Crash *message,
+                  void *closure_data);
 typedef void (*Rows__Member_Closure)
                  (const Rows__Member *message,
                   void *closure_data);
@@ -724,6 +776,7 @@
 extern const ProtobufCMessageDescriptor rows__program__descriptor;
 extern const ProtobufCMessageDescriptor rows__turn__descriptor;
 extern const ProtobufCMessageDescriptor rows__expiry__descriptor;
+extern const ProtobufCMessageDescriptor rows__crash__descriptor;
 extern const ProtobufCMessageDescriptor rows__member__descriptor;
 extern const ProtobufCMessageDescriptor rows__demand__descriptor;
 extern const ProtobufCMessageDescriptor rows__mark__descriptor;
--- a/serve/crashes.c
+++ b/serve/crashes.c
@@ -1,6 +1,7 @@
 /** @file crashes.c @brief Knowledge of requests that crash backend servers. */
 #include "crashes.h"
 #include "clock.h"
+#include "crash_rows.h"
 #include "slog.h"
 #include "stats.h"
 
@@ -14,6 +15,7 @@
 	const struct watcher *watcher;
 	struct members *members;
 	struct suspects *suspects;
+	struct crash_rows *rows;
 };
 
 static const char *evidence_name(enum suspect_evidence evidence)
@@ -59,11 +61,27 @@
 	return listed ? SUSPECT_SERVER_LISTED : SUSPECT_SERVER_GONE;
 }
 
-static void tell_others(const struct crashes *crashes,
-			const struct suspect_mark *mark)
+/* Tells the other instances, and those to come. */
+static void publish(const struct crashes *crashes,
+		    const struct suspect_mark *mark)
 {
 	if (crashes->members != NULL)
 		members_report_suspect(crashes->members, mark);
+	crash_rows_put(crashes->rows, mark);
+}
+
+/* A server has ended; @is_news: nobody was told of the mark before. */
+static void on_confirmed(const struct crashes *crashes,
+			 const struct suspect_mark *mark, bool is_news)
+{
+	if (is_news) {
+		stats_count(STATS_SUSPECTED);
+		publish(crashes, mark);
+	} else if (crashes->members != NULL &&
+		   members_is_responsible(crashes->members, mark->server)) {
+		/* Whoever saw it may have ended before it was written. */
+		crash_rows_put(crashes->rows, mark);
+	}
 }
 
 static void on_changed(void *arg, const struct suspect_mark *mark,
@@ -79,21 +97,54 @@
 	struct suspect_mark news = *mark;
 
 	log_mark(NULL, mark, "settled", names[change]);
-	if (change != SUSPECT_CONFIRMED || mark->evidence != SUSPECT_SILENT)
+	switch (change) {
+	case SUSPECT_CONFIRMED:
+		news.evidence = SUSPECT_CRASHED;
+		on_confirmed(crashes, &news, mark->evidence == SUSPECT_SILENT);
 		return;
-	stats_count(STATS_SUSPECTED);
-	news.evidence = SUSPECT_CRASHED;
-	tell_others(crashes, &news);
+	case SUSPECT_DISPROVED:
+		crash_rows_withdraw(crashes->rows, mark);
+		return;
+	case SUSPECT_CLEARED:
+		crash_rows_remove(crashes->rows, mark);
+		return;
+	case SUSPECT_EXPIRED: /* its row is removed by its age */
+		return;
+	}
 }
 
-struct crashes *crash_create(struct fleet *fleet, const struct watcher *watcher)
+/* A mark is in the store. */
+static void on_stored(void *arg, const struct suspect_mark *mark)
+{
+	struct crashes *crashes = arg;
+	int64_t now_ms = clock_boot_ms();
+
+	if (suspect_add(crashes->suspects, mark, now_ms))
+		log_mark(NULL, mark, "store", "");
+	else if (suspect_has_completed(crashes->suspects, mark->fingerprint,
+				       now_ms))
+		crash_rows_remove(crashes->rows, mark);
+}
+
+static void on_removed(void *arg, const struct suspect_mark *mark)
+{
+	struct crashes *crashes = arg;
+
+	suspect_remove(crashes->suspects, mark);
+}
+
+struct crashes *crash_create(struct event_base *base, struct store *store,
+			     struct fleet *fleet, const struct watcher *watcher)
 {
 	struct crashes *crashes = g_new0(struct crashes, 1);
 	struct suspect_handler handler = {server_of_mark, on_changed, crashes};
+	struct crash_rows_handler rows_handler = {on_stored, on_removed,
+						  crashes};
 
 	crashes->fleet = fleet;
 	crashes->watcher = watcher;
 	crashes->suspects = suspect_create(&handler);
+	crashes->rows = crash_rows_create(base, store, &rows_handler);
 	return crashes;
 }
 
@@ -101,6 +152,7 @@
 {
 	if (crashes == NULL)
 		return;
+	crash_rows_destroy(crashes->rows);
 	suspect_destroy(crashes->suspects);
 	g_free(crashes);
 }
@@ -129,7 +181,7 @@
 	if (mark.evidence == SUSPECT_SILENT)
 		return;
 	stats_count(STATS_SUSPECTED);
-	tell_others(crashes, &mark);
+	publish(crashes, &mark);
 }
 
 void crash_on_completed(struct crashes *crashes, const char *id,
@@ -160,4 +212,10 @@
 void crash_tick(struct crashes *crashes)
 {
 	suspect_settle(crashes->suspects, clock_boot_ms());
+	crash_rows_tick(crashes->rows, crashes->members);
+}
+
+void crash_flush(struct crashes *crashes)
+{
+	crash_rows_flush(crashes->rows);
 }
--- a/serve/crashes.h
+++ b/serve/crashes.h
@@ -2,9 +2,9 @@
  * @file crashes.h
  * @brief What this instance knows of requests that crash backend servers.
  *
- * Decides by decide/suspect.h. Marks come from the attempts of this instance
- * and from the other instances; what is known of a server comes from the list
- * and from its responses.
+ * Decides by decide/suspect.h. Marks come from the attempts of this instance,
+ * from the other instances and from the store, which keeps them; what is known
+ * of a server comes from the list and from its responses.
  */
 #ifndef APS_CRASHES_H
 #define APS_CRASHES_H
@@ -29,7 +29,8 @@
 	const char *cause;
 };
 
-struct crashes *crash_create(struct fleet *fleet,
+struct crashes *crash_create(struct event_base *base, struct store *store,
+			     struct fleet *fleet,
 			     const struct watcher *watcher);
 void crash_destroy(struct crashes *crashes);
 /** Sets whom to tell; without it nobody is told. */
@@ -47,5 +48,7 @@
 		      int64_t *wait_ms);
 /** Decides what has been left open; called a few times per second. */
 void crash_tick(struct crashes *crashes);
+/** Stores what is known, before this instance ends. */
+void crash_flush(struct crashes *crashes);
 
 #endif
--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -257,6 +257,7 @@
 	slog("stop", NULL, "\"grace_s\":%u", gw->settings->grace_s);
 	inbound_drain(gw->callers);
 	members_leave(gw->shared.members);
+	crash_flush(gw->shared.crashes);
 }
 
 bool gw_stopped(const struct gw *gw)
@@ -468,7 +469,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	shared->watcher = watcher_create(gw->base, shared->store, shared->fleet,
 					 on_config, gw);
-	shared->crashes = crash_create(shared->fleet, shared->watcher);
+	shared->crashes = crash_create(gw->base, shared->store, shared->fleet,
+				       shared->watcher);
 	config.store = shared->store;
 	config.quota = shared->quota;
 	config.server_limits = shared->server_limits;
--- a/test/unit/test_crashing_request.c
+++ b/test/unit/test_crashing_request.c
@@ -19,6 +19,7 @@
 #include "test/gateway/fixture.h"
 
 #define BODY "crashes servers"
+#define CRASHES_TABLE "aps-crashes"
 
 enum {
 	SERVERS = 2,
@@ -32,6 +33,7 @@
 	UNLISTED_AFTER_MS = 1500, /* the entry of a silent server is removed */
 	RETRY_GAP_MS = 100,
 	LEAVE_MS = 200, /* a caller waits */
+	FORGOTTEN_MS = 3700000,
 };
 
 /* A server and its starts. */
@@ -274,6 +276,32 @@
 	}
 }
 
+static void test_crashes_are_known_to_a_late_instance(void **state)
+{
+	struct crashes crashes = {.body = BODY};
+
+	(void)state;
+	set_up_servers(&crashes, false);
+	try_often(&crashes, TRIES, "POST", "/order/x");
+	run_until(&crashes, NULL, CONTACT_MS + 1000);
+	restart(&crashes, 1);
+	for (int i = 0; i < TRIES; i++)
+		(void)try_once(&crashes, 1, "POST", "/order/x");
+	assert_int_equal(crashes.count, CRASHES_MAX);
+}
+
+static void kill_all(struct crashes *crashes)
+{
+	for (int i = 0; i < GATEWAY_COUNT; i++) {
+		gw_destroy(fx.gateways[i]);
+		upstream_close_idle(&fx.idle[i]);
+	}
+	for (int i = 0; i < GATEWAY_COUNT; i++)
+		fixture_start_gateway(i);
+	fixture_wait_until_ready();
+	run_until(crashes, NULL, RETRY_GAP_MS);
+}
+
 static void test_crashes_are_known_after_a_kill_of_all(void **state)
 {
 	struct crashes crashes = {.body = BODY};
@@ -284,29 +312,61 @@
 		while (crashes.count < seen)
 			(void)try_once(&crashes, (int)seen % GATEWAY_COUNT,
 				       "POST", "/order/x");
-		for (int i = 0; i < GATEWAY_COUNT; i++) {
-			gw_destroy(fx.gateways[i]);
-			upstream_close_idle(&fx.idle[i]);
-		}
-		for (int i = 0; i < GATEWAY_COUNT; i++)
-			fixture_start_gateway(i);
-		fixture_wait_until_ready();
+		kill_all(&crashes);
 	}
 	try_often(&crashes, TRIES, "POST", "/order/x");
 }
 
-static void test_crashes_are_known_to_a_late_instance(void **state)
+static void test_crash_during_an_outage_of_the_store(void **state)
 {
 	struct crashes crashes = {.body = BODY};
 
 	(void)state;
 	set_up_servers(&crashes, false);
-	try_often(&crashes, TRIES, "POST", "/order/x");
-	run_until(&crashes, NULL, CONTACT_MS + 1000);
-	restart(&crashes, 1);
-	for (int i = 0; i < TRIES; i++)
-		(void)try_once(&crashes, 1, "POST", "/order/x");
+	while (crashes.count < CRASHES_MAX - 1)
+		(void)try_once(&crashes, 0, "POST", "/order/x");
+	rowstore_set_mode(fx.store, ROWSTORE_UNAVAILABLE);
+	(void)try_once(&crashes, 1, "POST", "/order/x");
 	assert_int_equal(crashes.count, CRASHES_MAX);
+	rowstore_set_mode(fx.store, ROWSTORE_OK);
+	run_until(&crashes, NULL, CONTACT_MS);
+	kill_all(&crashes);
+	try_often(&crashes, TRIES, "POST", "/order/x");
+}
+
+static void test_completed_request_is_cleared_everywhere(void **state)
+{
+	struct crashes crashes = {.body = BODY};
+
+	(void)state;
+	set_up_servers(&crashes, false);
+	while (crashes.count < CRASHES_MAX - 1)
+		(void)try_once(&crashes, 0, "POST", "/order/x");
+	run_until(&crashes, NULL, CONTACT_MS);
+	assert_int_equal(rowstore_count_rows(fx.store, CRASHES_TABLE),
+			 CRASHES_MAX - 1);
+	for (int i = 0; i < SERVERS; i++)
+		backend_set_crash(*crashes.servers[i].backend, "another",
+				  BACKEND_CRASH_AT_ONCE);
+	assert_int_equal(try_once(&crashes, 1, "POST", "/order/x"), 200);
+	run_until(&crashes, NULL, CONTACT_MS);
+	assert_int_equal(rowstore_count_rows(fx.store, CRASHES_TABLE), 0);
+}
+
+static void test_crashes_are_forgotten_in_the_end(void **state)
+{
+	struct crashes crashes = {.body = BODY};
+
+	(void)state;
+	set_up_servers(&crashes, false);
+	try_often(&crashes, TRIES, "POST", "/order/x");
+	run_until(&crashes, NULL, CONTACT_MS);
+	rowstore_advance_clock(fx.store, FORGOTTEN_MS);
+	kill_all(&crashes);
+	run_until(&crashes, NULL, CONTACT_MS);
+	assert_int_equal(rowstore_count_rows(fx.store, CRASHES_TABLE), 0);
+	(void)try_once(&crashes, 0, "POST", "/order/x");
+	assert_int_equal(crashes.count, CRASHES_MAX + 1);
 }
 
 /* Sends the request at once so often, and again when all have ended. */
@@ -358,6 +418,9 @@
 		FIXTURE_TEST(test_crashes_are_known_after_restarts),
 		FIXTURE_TEST(test_crashes_are_known_after_a_kill_of_all),
 		FIXTURE_TEST(test_crashes_are_known_to_a_late_instance),
+		FIXTURE_TEST(test_crash_during_an_outage_of_the_store),
+		FIXTURE_TEST(test_completed_request_is_cleared_everywhere),
+		FIXTURE_TEST(test_crashes_are_forgotten_in_the_end),
 		FIXTURE_TEST(test_many_tries_of_a_crashing_request),
 	};
 
