soak: requests that crash servers, beside sound ones, and kills of all gateways

A service of its own has three servers that crash when they run such a request and start again under new ids. Callers send 40 to 57 such requests in 8 s of faults, each 12 times; another one sends sound requests with the same body each time. All gateways are killed now and then, and at the end of the faults. When all is calm, a request that had crashed three servers may reach at most three more (the users' bound), and sound requests must be served.

backend_create() returns NULL if it can't listen, and gateways no longer inherit the sockets of the soak: a crashed server's connections had stayed open in them.

--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -11,6 +11,7 @@
  *  - a completed turn can be continued, with its full history
  *  - no program exceeded its budget by more than one turn
  *  - no server saw an API key
+ *  - a request that crashed three servers is still known when all is calm
  *  - a resumed stream is of one software version, and of every event once
  *  - turns are served again after the faults
  */
@@ -24,6 +25,7 @@
 
 #include <sodium.h>
 
+#include "crashes.h"
 #include "decide/rng.h"
 #include "proxy.h"
 #include "serve/clock.h"
@@ -45,6 +47,8 @@
 	PROGRAM_TURNS = 6,
 	READY_TIMEOUT_MS = 3000, /* to serve a turn after the faults */
 	SETTLE_MS = 4000,	 /* without faults, before the final check */
+	KILL_ALL_STEPS = 30,	 /* on average, between kills of all gateways */
+	CRASHES_PORT = 150,	 /* of the servers that crash */
 	CALL_TIMEOUT_MS = 2000,	 /* a caller's timeout */
 	DEFAULT_PORT = 19000,
 };
@@ -63,9 +67,10 @@
 	"\"resumable\":true,\"gap_target_ms\":300},"
 	"{\"name\":\"order\",\"hostname\":\"h\",\"prefix\":\"/order/\","
 	"\"route_type\":\"unsafe\",\"timeout_ms\":1000,\"slo_ms\":100,"
-	"\"service\":\"shop\",\"attempts\":1}],"
+	"\"service\":\"shop\",\"attempts\":1}," CRASHES_ROUTE "],"
 	"\"services\":[{\"name\":\"engines\",\"engine\":{\"stride\":10}},"
-	"{\"name\":\"shop\"}],\"limits\":{\"max_header_bytes\":8192,"
+	"{\"name\":\"shop\"}," CRASHES_SERVICE
+	"],\"limits\":{\"max_header_bytes\":8192,"
 	"\"max_body_bytes\":100000,\"header_timeout_ms\":1000,"
 	"\"idle_timeout_ms\":60000},\"tenants\":[{\"name\":\"t1\","
 	"\"api_keys\":[\"secret-key\"],\"rate_per_s\":0,\"burst\":0}]}";
@@ -99,12 +104,14 @@
 	struct proxy *store_proxies[GATEWAY_COUNT];
 	struct servers *servers;
 	struct streams *streams;
+	struct crashes *crashes;
 	struct gateway gateways[GATEWAY_COUNT];
 	struct caller callers[CALLER_COUNT];
 	GQueue idle[GATEWAY_COUNT];
 	GPtrArray *requests; /* of struct soak_request, every one */
 	struct rng rng;
 	struct rng release_rng; /* of what is done to versions */
+	struct rng kill_rng;	/* of kills of all gateways */
 	const char *binary;
 	int64_t send_until_ms;
 	uint32_t next_id;
@@ -140,6 +147,9 @@
 
 	gw->pid = fork();
 	if (gw->pid == 0) {
+		/* A copy of a socket would keep a crashed server's connections
+		 * open. */
+		closefrom(STDERR_FILENO + 1);
 		if (freopen(log, "a", stdout) == NULL ||
 		    dup2(STDOUT_FILENO, STDERR_FILENO) < 0)
 			_exit(126);
@@ -373,6 +383,18 @@
 	}
 }
 
+static void kill_all_gateways(void)
+{
+	for (int i = 0; i < GATEWAY_COUNT; i++) {
+		struct gateway *gw = &state.gateways[i];
+
+		kill(gw->pid, SIGKILL);
+		gw->stopped = false;
+		gw->resume_at_ms = clock_boot_ms() + 100;
+	}
+	state.faults++;
+}
+
 static void inject_fault(void)
 {
 	static const enum rowstore_mode store_modes[] = {
@@ -544,7 +566,15 @@
 	}
 	state.servers = servers_create(state.base, state.store, state.port,
 				       &state.release_rng);
-	return state.servers != NULL;
+	state.crashes = crashes_create(&(struct crashes_config){
+		.base = state.base,
+		.upstream = state.upstream,
+		.store = state.store,
+		.gateway_port = state.port + 100,
+		.server_port = state.port + CRASHES_PORT,
+		.seed = state.kill_rng.state,
+	});
+	return state.servers != NULL && state.crashes != NULL;
 }
 
 static void start_callers(void)
@@ -567,18 +597,23 @@
 
 	state.send_until_ms = faults_end_ms + SETTLE_MS;
 	streams_start(state.streams, state.send_until_ms + READY_TIMEOUT_MS);
+	crashes_start(state.crashes, state.send_until_ms + READY_TIMEOUT_MS);
 	while (clock_boot_ms() < faults_end_ms) {
 		run_for(20 + (int64_t)rng_below(&state.rng, 250));
 		check_gateways();
 		inject_fault();
+		if (rng_below(&state.kill_rng, KILL_ALL_STEPS) == 0)
+			kill_all_gateways();
 		servers_change(state.servers);
 		recover_gateways(false);
 	}
 	clear_faults();
+	kill_all_gateways();
 	for (int i = 0; i < 20; i++) {
 		recover_gateways(i > 10);
 		run_for(SETTLE_MS / 20);
 	}
+	crashes_set_calm(state.crashes);
 	state.completed_turns = 0;
 	streams_reset_completed(state.streams);
 	state.send_until_ms += READY_TIMEOUT_MS;
@@ -616,6 +651,7 @@
 	state.port = argc > 4 ? atoi(argv[4]) : DEFAULT_PORT;
 	state.rng.state = seed;
 	state.release_rng.state = rng_mix(seed);
+	state.kill_rng.state = rng_mix(seed + 2);
 	state.next_id = 1;
 	state.requests = g_ptr_array_new();
 	if (!set_up(dir)) {
@@ -634,11 +670,13 @@
 	start_callers();
 	run_soak(ms);
 	check_all();
+	crashes_check(state.crashes);
 	kill_gateways();
 	printf("seed %" G_GUINT64_FORMAT ": %u requests, %u faults, "
 	       "%u turns served afterwards, %d failures, logs in %s\n",
 	       seed, state.requests->len, state.faults, state.completed_turns,
 	       failures, dir);
 	streams_print(state.streams);
+	crashes_print(state.crashes);
 	return failures > 0;
 }
--- a/test/standins/backend.c
+++ b/test/standins/backend.c
@@ -342,6 +342,10 @@
 	backend->event_gap_ms = event_gap_ms;
 	backend->runs = g_ptr_array_new_with_free_func(free_run);
 	backend->inbound = inbound_create(base, address, &handler, backend);
+	if (backend->inbound == NULL) {
+		backend_destroy(backend);
+		return NULL;
+	}
 	return backend;
 }
 
--- a/test/standins/backend.h
+++ b/test/standins/backend.h
@@ -62,6 +62,7 @@
  * @param id           names the server in its responses
  * @param n_events     events in each stream
  * @param event_gap_ms time before each event, below 1000
+ * @return NULL if it can't listen
  */
 struct backend *backend_create(struct event_base *base, const char *address,
 			       const char *id, guint n_events,
