suspect: marks that were disproved do not come back from other instances

suspect_add() asks first whether the mark is disproved already: the server has been heard since, or is listed though the mark is old.

The new test fails before.

--- a/decide/suspect.c
+++ b/decide/suspect.c
@@ -173,6 +173,29 @@
 	return NULL;
 }
 
+static enum suspect_server server_of(const struct suspects *suspects,
+				     const struct suspect_mark *mark)
+{
+	return suspects->handler.server(suspects->handler.arg, mark);
+}
+
+/* A mark that has been forgotten may come again from other instances. */
+static bool is_disproved(const struct suspects *suspects,
+			 const struct suspect_mark *mark, int64_t now)
+{
+	int64_t age_ms = now - mark->ended_ms;
+	enum suspect_server server = server_of(suspects, mark);
+
+	return age_ms > MARK_MAX_MS || server == SUSPECT_SERVER_ALIVE ||
+	       (server == SUSPECT_SERVER_LISTED && age_ms > OPEN_MAX_MS);
+}
+
+static void report(const struct suspects *suspects, const struct mark *mark,
+		   enum suspect_change change)
+{
+	suspects->handler.changed(suspects->handler.arg, &mark->public, change);
+}
+
 bool suspect_add(struct suspects *suspects, const struct suspect_mark *mark,
 		 int64_t now)
 {
@@ -181,7 +204,7 @@
 	guint index;
 
 	if (suspect_has_completed(suspects, mark->fingerprint, now) ||
-	    now - mark->ended_ms > MARK_MAX_MS)
+	    is_disproved(suspects, mark, now))
 		return false;
 	if (request == NULL)
 		request = create_request(suspects, mark->fingerprint);
@@ -218,12 +241,6 @@
 		g_hash_table_remove(suspects->requests, &key);
 }
 
-static void report(const struct suspects *suspects, const struct mark *mark,
-		   enum suspect_change change)
-{
-	suspects->handler.changed(suspects->handler.arg, &mark->public, change);
-}
-
 bool suspect_on_completed(struct suspects *suspects, uint64_t fingerprint,
 			  int64_t now)
 {
@@ -245,31 +262,21 @@
 static bool settle_mark(struct suspects *suspects, struct mark *mark,
 			int64_t now)
 {
-	int64_t age_ms = now - mark->public.ended_ms;
-
-	if (age_ms > MARK_MAX_MS) {
+	if (now - mark->public.ended_ms > MARK_MAX_MS) {
 		report(suspects, mark, SUSPECT_EXPIRED);
 		return false;
 	}
 	if (mark->public.evidence == SUSPECT_CRASHED)
 		return true;
-	switch (suspects->handler.server(suspects->handler.arg,
-					 &mark->public)) {
-	case SUSPECT_SERVER_UNKNOWN:
-		return true;
-	case SUSPECT_SERVER_GONE:
+	if (is_disproved(suspects, &mark->public, now)) {
+		report(suspects, mark, SUSPECT_DISPROVED);
+		return false;
+	}
+	if (server_of(suspects, &mark->public) == SUSPECT_SERVER_GONE) {
 		report(suspects, mark, SUSPECT_CONFIRMED);
 		mark->public.evidence = SUSPECT_CRASHED;
-		return true;
-	case SUSPECT_SERVER_LISTED:
-		if (age_ms <= OPEN_MAX_MS)
-			return true;
-		break;
-	case SUSPECT_SERVER_ALIVE:
-		break;
 	}
-	report(suspects, mark, SUSPECT_DISPROVED);
-	return false;
+	return true;
 }
 
 static void settle_request(struct suspects *suspects, struct request *request,
--- a/test/unit/test_suspect.c
+++ b/test/unit/test_suspect.c
@@ -155,6 +155,26 @@
 	suspect_destroy(suspects);
 }
 
+/* Instances pass marks on to each other, and may send one again. */
+static void test_disproved_mark_does_not_come_back(void **state)
+{
+	struct view view = {SUSPECT_SERVER_LISTED, {0}};
+	struct suspects *suspects = create(&view);
+	struct suspect_mark late = {REQUEST, "s1", 1, 0, SUSPECT_BROKEN};
+
+	(void)state;
+	assert_true(add(suspects, "s1", SUSPECT_BROKEN, 0));
+	view.server = SUSPECT_SERVER_ALIVE;
+	suspect_settle(suspects, 200);
+	assert_int_equal(view.changes[SUSPECT_DISPROVED], 1);
+	assert_false(suspect_add(suspects, &late, 300));
+	view.server = SUSPECT_SERVER_LISTED;
+	assert_false(suspect_add(suspects, &late, SETTLED_MS));
+	view.server = SUSPECT_SERVER_GONE;
+	assert_true(suspect_add(suspects, &late, SETTLED_MS));
+	suspect_destroy(suspects);
+}
+
 static void test_silent_servers_count_once_gone(void **state)
 {
 	struct view view = {SUSPECT_SERVER_LISTED, {0}};
@@ -256,6 +276,7 @@
 			test_starts_under_one_id_are_different_servers),
 		cmocka_unit_test(test_crashes_minutes_apart_count),
 		cmocka_unit_test(test_servers_that_live_acquit),
+		cmocka_unit_test(test_disproved_mark_does_not_come_back),
 		cmocka_unit_test(test_silent_servers_count_once_gone),
 		cmocka_unit_test(
 			test_silent_server_that_another_instance_saw_crash),
