Try a refused request again if another one may have crashed its servers

A sound request that many callers send was refused for an hour: it had been at three servers when others crashed them, with no run to the end in between, and being refused it could not complete any more.

Half open, as a circuit breaker: a refused request may be tried 3 s after its last crash, and 60 s after the next, if one of its marks is shared with another request that is still suspected. Those beside a request that crashes servers complete and are cleared, so it is mostly beyond doubt and not tried; a sound one shares its marks with those that crashed the servers. One instance tries, by rendezvous hashing of the fingerprint; two trials stay below the three retries that users allow, and Retry-After says when the next one is.

Weighed and left: blaming the request with the most crashes (a sound one can have more than each of those that crash, which are stopped at three).

--- a/decide/suspect.c
+++ b/decide/suspect.c
@@ -14,8 +14,13 @@
 	MARKS_MAX = 8,	      /* of a request; the oldest goes first */
 	COMPLETED_MS = 30000, /* a request that ran to the end is sound */
 	COMPLETED_SLOTS = 4096,
+	TRIALS = 2,	       /* of a refused request; users allow three */
+	TRIAL_RETRY_MS = 1000, /* by then another instance may have tried it */
 };
 
+/* Time from the last crash, or the last trial, to the next one. */
+static const int64_t trial_delays_ms[TRIALS] = {3000, 60000};
+
 struct mark {
 	struct suspect_mark public;
 	char *server;
@@ -23,6 +28,7 @@
 
 struct request {
 	GPtrArray *marks; /* of struct mark, oldest first */
+	int64_t tried_ms; /* the last trial; 0: none */
 };
 
 /* A request that a server ran to the end. */
@@ -326,10 +332,63 @@
 	return wait_ms;
 }
 
+/* Time until the request may be tried once more; -1: it may not. */
+static int64_t trial_wait_ms(const struct request *request, int64_t now)
+{
+	guint trials = count_marks(request) - REFUSAL_SERVERS;
+	int64_t from_ms = MAX(last_ended_ms(request), request->tried_ms);
+
+	if (trials >= TRIALS)
+		return -1;
+	return MAX(from_ms + trial_delays_ms[trials] - now, 0);
+}
+
+/* Whether another request had the server of @mark too. */
+static bool is_shared(const struct suspects *suspects,
+		      const struct request *request,
+		      const struct suspect_mark *mark)
+{
+	GHashTableIter it;
+	gpointer other;
+	guint index;
+
+	g_hash_table_iter_init(&it, suspects->requests);
+	while (g_hash_table_iter_next(&it, NULL, &other)) {
+		if (other != request && find_mark(other, mark, &index) != NULL)
+			return true;
+	}
+	return false;
+}
+
+static bool is_in_doubt(const struct suspects *suspects,
+			const struct request *request)
+{
+	for (guint i = 0; i < request->marks->len; i++) {
+		const struct mark *mark = g_ptr_array_index(request->marks, i);
+
+		if (is_shared(suspects, request, &mark->public))
+			return true;
+	}
+	return false;
+}
+
+bool suspect_take_trial(struct suspects *suspects, uint64_t fingerprint,
+			int64_t now)
+{
+	struct request *request = find_request(suspects, fingerprint);
+
+	if (request == NULL || count_marks(request) < REFUSAL_SERVERS ||
+	    trial_wait_ms(request, now) != 0 || !is_in_doubt(suspects, request))
+		return false;
+	request->tried_ms = now;
+	return true;
+}
+
 bool suspect_is_refused(struct suspects *suspects, uint64_t fingerprint,
 			int64_t now, int64_t *wait_ms)
 {
 	struct request *request = find_request(suspects, fingerprint);
+	int64_t trial_ms;
 
 	if (request == NULL || count_marks(request) < REFUSAL_SERVERS)
 		return false;
@@ -337,6 +396,9 @@
 	if (count_marks(request) < REFUSAL_SERVERS)
 		return false;
 	*wait_ms = refusal_ms(request, now);
+	trial_ms = trial_wait_ms(request, now);
+	if (trial_ms >= 0 && is_in_doubt(suspects, request))
+		*wait_ms = MIN(*wait_ms, MAX(trial_ms, TRIAL_RETRY_MS));
 	return true;
 }
 
--- a/decide/suspect.h
+++ b/decide/suspect.h
@@ -13,6 +13,11 @@
  * listed after a while, did not. A request with marks of REFUSAL_SERVERS
  * different starts is refused. A request that a server ran to the end crashes
  * none: its marks are forgotten, and new ones are ignored for a while.
+ *
+ * A sound request may have been at servers that others crashed. As long as it
+ * is refused it can't complete, so it may be tried a few times more if one of
+ * these others is still suspected too. A request that crashes servers is mostly
+ * the only one left: those that were beside it have completed since.
  */
 #ifndef APS_SUSPECT_H
 #define APS_SUSPECT_H
@@ -84,6 +89,10 @@
 /** Whether the request is refused; @p wait_ms receives for how much longer. */
 bool suspect_is_refused(struct suspects *suspects, uint64_t fingerprint,
 			int64_t now, int64_t *wait_ms);
+/** Whether a refused request may be tried once more, which is noted; one
+ * instance should ask. */
+bool suspect_take_trial(struct suspects *suspects, uint64_t fingerprint,
+			int64_t now);
 /** Returns the fingerprint of a request. */
 uint64_t suspect_fingerprint(const char *account, const char *method,
 			     const char *path, const void *body, uint64_t len);
--- a/serve/crashes.c
+++ b/serve/crashes.c
@@ -8,6 +8,7 @@
 enum {
 	ALIVE_MARGIN_MS = 100,	/* bytes of a server that ended may come late */
 	LIST_AGE_MAX_MS = 3000, /* an older list does not tell who is gone */
+	FINGERPRINT_LEN = 17,
 };
 
 struct crashes {
@@ -209,6 +210,22 @@
 				  clock_boot_ms(), wait_ms);
 }
 
+bool crash_take_trial(struct crashes *crashes, const char *id,
+		      uint64_t fingerprint)
+{
+	char task[FINGERPRINT_LEN];
+
+	g_snprintf(task, sizeof(task), "%016" G_GINT64_MODIFIER "x",
+		   fingerprint);
+	if (crashes->members == NULL ||
+	    !members_is_responsible(crashes->members, task) ||
+	    !suspect_take_trial(crashes->suspects, fingerprint,
+				clock_boot_ms()))
+		return false;
+	slog("trial", id, "\"fingerprint\":\"%s\"", task);
+	return true;
+}
+
 void crash_tick(struct crashes *crashes)
 {
 	suspect_settle(crashes->suspects, clock_boot_ms());
--- a/serve/crashes.h
+++ b/serve/crashes.h
@@ -46,6 +46,9 @@
 /** Whether the request is refused; @p wait_ms receives for how much longer. */
 bool crash_is_refused(struct crashes *crashes, uint64_t fingerprint,
 		      int64_t *wait_ms);
+/** Whether this instance may try a refused request once more. */
+bool crash_take_trial(struct crashes *crashes, const char *id,
+		      uint64_t fingerprint);
 /** Decides what has been left open; called a few times per second. */
 void crash_tick(struct crashes *crashes);
 /** Stores what is known, before this instance ends. */
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -418,7 +418,7 @@
 	x->fingerprint = suspect_fingerprint(
 		exch_account_name(x), x->request->method, x->call.path,
 		x->request->body->data, x->request->body->len);
-	if (crash_is_refused(x->shared->crashes, x->fingerprint, &wait_ms)) {
+	if (exch_crashes_servers(x, &wait_ms)) {
 		stats_count(STATS_REFUSED_MARKED);
 		exch_reply_error(x, 503, "breaks servers", wait_ms);
 		return false;
--- a/serve/exchange_int.h
+++ b/serve/exchange_int.h
@@ -33,7 +33,8 @@
 	struct fleet_server *awaited_server;
 	int64_t limit_wait_ms; /* until a server at its limit may get it */
 	uint64_t fingerprint;
-	GBytes *body; /* as sent to the backend server */
+	bool is_trial; /* its next attempt, of a request that is refused */
+	GBytes *body;  /* as sent to the backend server */
 
 	struct turns_turn *turn;
 	bool tokens_granted;  /* output may be passed to the caller */
@@ -126,6 +127,9 @@
 /** Handles another instance that did not carry the connection; the server has
  * nothing to do with that. */
 void exch_tunnel_failed(struct exch *x, const char *cause);
+/** Whether the request crashes servers and must not be sent; @p wait_ms
+ * receives for how much longer. */
+bool exch_crashes_servers(struct exch *x, int64_t *wait_ms);
 /** Records that the attempt may have crashed its server. */
 void exch_suspect(const struct exch *x, enum suspect_evidence evidence,
 		  const char *cause);
--- a/serve/exchange_retry.c
+++ b/serve/exchange_retry.c
@@ -61,6 +61,17 @@
 	}
 }
 
+bool exch_crashes_servers(struct exch *x, int64_t *wait_ms)
+{
+	struct crashes *crashes = x->shared->crashes;
+
+	if (x->is_trial || !crash_is_refused(crashes, x->fingerprint, wait_ms))
+		return false;
+	x->is_trial = x->retry.sends == 0 &&
+		      crash_take_trial(crashes, x->call.id, x->fingerprint);
+	return !x->is_trial;
+}
+
 void exch_suspect(const struct exch *x, enum suspect_evidence evidence,
 		  const char *cause)
 {
@@ -208,7 +219,7 @@
 	enum fleet_pick_status why;
 	struct fleet_server *server;
 
-	if (crash_is_refused(x->shared->crashes, x->fingerprint, &wait_ms)) {
+	if (exch_crashes_servers(x, &wait_ms)) {
 		stop_crashing(x, wait_ms);
 		return;
 	}
--- a/test/unit/test_suspect.c
+++ b/test/unit/test_suspect.c
@@ -232,6 +232,60 @@
 	suspect_destroy(suspects);
 }
 
+static void add_shared(struct suspects *suspects, const char *server,
+		       int64_t now)
+{
+	struct suspect_mark other = {OTHER_REQUEST, server, 1, now,
+				     SUSPECT_BROKEN};
+
+	assert_true(suspect_add(suspects, &other, now));
+	assert_true(add(suspects, server, SUSPECT_BROKEN, now));
+}
+
+/* The request was at three servers that another one may have crashed. */
+static void test_request_in_doubt_is_tried_twice(void **state)
+{
+	struct view view = {SUSPECT_SERVER_GONE, {0}};
+	struct suspects *suspects = create(&view);
+
+	(void)state;
+	assert_false(suspect_take_trial(suspects, REQUEST, 0));
+	add_shared(suspects, "s1", 0);
+	add(suspects, "s2", SUSPECT_BROKEN, 0);
+	add(suspects, "s3", SUSPECT_BROKEN, 0);
+	assert_true(is_refused(suspects, 2000));
+	assert_false(suspect_take_trial(suspects, REQUEST, 2000));
+	assert_true(suspect_take_trial(suspects, REQUEST, 3000));
+	assert_false(suspect_take_trial(suspects, REQUEST, 3001));
+	add(suspects, "s4", SUSPECT_BROKEN, 3100);
+	assert_false(suspect_take_trial(suspects, REQUEST, 10000));
+	assert_true(suspect_take_trial(suspects, REQUEST, 2 * MINUTE_MS));
+	add(suspects, "s5", SUSPECT_BROKEN, 2 * MINUTE_MS);
+	for (int64_t now = 2 * MINUTE_MS; now < HOUR_MS; now += MINUTE_MS) {
+		suspect_settle(suspects, now);
+		assert_true(is_refused(suspects, now));
+		assert_false(suspect_take_trial(suspects, REQUEST, now));
+	}
+	suspect_destroy(suspects);
+}
+
+static void test_request_beyond_doubt_is_not_tried(void **state)
+{
+	struct view view = {SUSPECT_SERVER_GONE, {0}};
+	struct suspects *suspects = create(&view);
+
+	(void)state;
+	add_shared(suspects, "s1", 0);
+	add_shared(suspects, "s2", 0);
+	add_shared(suspects, "s3", 0);
+	suspect_on_completed(suspects, OTHER_REQUEST, 1000);
+	for (int64_t now = 1000; now < HOUR_MS; now += MINUTE_MS) {
+		assert_true(is_refused(suspects, now));
+		assert_false(suspect_take_trial(suspects, REQUEST, now));
+	}
+	suspect_destroy(suspects);
+}
+
 static void test_refused_request_survives_many_others(void **state)
 {
 	struct view view = {SUSPECT_SERVER_GONE, {0}};
@@ -281,6 +335,8 @@
 		cmocka_unit_test(
 			test_silent_server_that_another_instance_saw_crash),
 		cmocka_unit_test(test_request_that_completes_is_sound),
+		cmocka_unit_test(test_request_in_doubt_is_tried_twice),
+		cmocka_unit_test(test_request_beyond_doubt_is_not_tried),
 		cmocka_unit_test(test_refused_request_survives_many_others),
 		cmocka_unit_test(test_fingerprint_tells_requests_apart),
 	};
