test_stream_version: kills of all instances with two software versions

Three tests: the stream is recorded, and both versions are there; it has no record, and its version left before the kill; it has none, and both are there. In all of them the stream goes on at its version or is refused until its time is over.

Broken on purpose (an instance need not have watched the list for the whole window), the second one fails, and test_unknown_stream_with_one_version.

--- a/test/unit/test_stream_version.c
+++ b/test/unit/test_stream_version.c
@@ -21,6 +21,8 @@
 	LISTED_MS = 100, /* until all instances know of a server */
 	/* The timeout of the route and the skew between two lists, and more. */
 	WATCHED_MS = 5500,
+	STREAM_LIMIT_MS = 3000, /* over all attempts, as the route's timeout */
+	RESUME_GAP_MS = 100,
 	AT_ONCE_MS = 300,
 	AWAY_MS = 50, /* less than any timeout of the store */
 };
@@ -207,6 +209,94 @@
 	}
 }
 
+/* All instances are killed at once, and come back. */
+static void kill_all(void)
+{
+	for (int i = 0; i < GATEWAY_COUNT; i++) {
+		gw_destroy(fx.gateways[i]);
+		upstream_close_idle(&fx.idle[i]);
+	}
+	for (int i = 0; i < GATEWAY_COUNT; i++)
+		fixture_start_gateway(i);
+	fixture_wait_until_ready();
+}
+
+/* Guards against streams joined from two versions after a kill of all. */
+static void test_two_versions_and_a_kill_of_all(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(others); i++) {
+		struct fixture_response response;
+		char *resumed = g_strdup_printf("r-%s", others[i]);
+
+		put_all_engines(others[i]);
+		begin_stream(&response, 0, others[i]);
+		fixture_response_clear(&response);
+		kill_all();
+		resume_stream(&response, (int)i, resumed, others[i]);
+		assert_resumed(&response);
+		assert_string_not_equal(target_of(last_run(resumed)),
+					others[i]);
+		fixture_response_clear(&response);
+		g_free(resumed);
+	}
+}
+
+/* Takes a stream up until its time is over; it must never go on at e2. */
+static void assert_not_resumed_at_e2(const char *begun_as, int64_t until_ms)
+{
+	struct fixture_response response;
+	guint before = backend_runs(fx.engines[1])->len;
+	int tries = 0;
+
+	while (clock_boot_ms() < until_ms) {
+		char *id = g_strdup_printf("r%d", tries);
+
+		resume_stream(&response, tries++ % GATEWAY_COUNT, id, begun_as);
+		assert_int_equal(backend_runs(fx.engines[1])->len, before);
+		assert_int_equal(response.status, 503);
+		fixture_response_clear(&response);
+		fixture_run_until(NULL, RESUME_GAP_MS);
+		g_free(id);
+	}
+	assert_in_range(tries, 2, G_MAXINT);
+}
+
+/* The servers of the version that began the stream left before the kill: to the
+ * instances that come back, the other version is the only one. */
+static void test_version_that_left_before_a_kill_of_all(void **state)
+{
+	struct fixture_response response;
+	int64_t begun_ms;
+
+	(void)state;
+	fixture_run_until(NULL, WATCHED_MS);
+	begun_ms = clock_boot_ms();
+	begin_stream(&response, 0, "b");
+	fixture_response_clear(&response);
+	put_other("e2");
+	rowstore_put(fx.store, "servers", "", "e1", NULL);
+	fixture_run_until(NULL, LISTED_MS);
+	kill_all();
+	assert_not_resumed_at_e2("b", begun_ms + STREAM_LIMIT_MS);
+}
+
+/* The same, but both versions are there, and the stream has no record. */
+static void test_unrecorded_stream_and_a_kill_of_all(void **state)
+{
+	struct fixture_response response;
+	int64_t begun_ms;
+
+	(void)state;
+	fixture_run_until(NULL, WATCHED_MS);
+	begun_ms = clock_boot_ms();
+	begin_stream(&response, 0, "b");
+	fixture_response_clear(&response);
+	put_other("e2");
+	kill_all();
+	assert_not_resumed_at_e2("b", begun_ms + STREAM_LIMIT_MS);
+}
+
 /* Begun while there was one version only, resumed when there are two. */
 static void test_stream_from_before_the_second_version(void **state)
 {
@@ -388,6 +478,9 @@
 		FIXTURE_TEST(test_broken_stream_without_its_version),
 		FIXTURE_TEST(test_one_version_over_two_attempts),
 		FIXTURE_TEST(test_version_outlives_the_instance),
+		FIXTURE_TEST(test_two_versions_and_a_kill_of_all),
+		FIXTURE_TEST(test_version_that_left_before_a_kill_of_all),
+		FIXTURE_TEST(test_unrecorded_stream_and_a_kill_of_all),
 		FIXTURE_TEST(test_stream_from_before_the_second_version),
 		FIXTURE_TEST(test_unknown_stream_with_one_version),
 		FIXTURE_TEST(test_stream_of_a_new_instance),
