members: ignore marks of instances that do not name the start of a server

While old and new instances run side by side, a mark of an old one has no start. It would be taken for one of a start that is over, and so for a confirmed crash, whatever broke the connection.

--- a/serve/members_news.c
+++ b/serve/members_news.c
@@ -172,6 +172,9 @@
 		.evidence = message->crashed ? SUSPECT_CRASHED : SUSPECT_BROKEN,
 	};
 
+	/* An older version of the program does not say which start it was. */
+	if (!message->has_started_ms)
+		return;
 	if (members->config.on_suspect(members->config.arg, &mark))
 		members_report_suspect(members, &mark);
 }
