test_suspect: 2, 11 and 295 instances that learn late and are replaced

A request comes every 50 ms to any instance; each mark reaches the others after 0.3 to 2.5 s, one instance is replaced each 0.5 s and reads what is stored, all are after 30 s. Later than 3 s after the third crash at most three tries may reach a server (the users' bound).

--- a/test/unit/test_suspect.c
+++ b/test/unit/test_suspect.c
@@ -8,6 +8,7 @@
 #include <cmocka.h>
 #include <glib.h>
 
+#include "decide/rng.h"
 #include "decide/suspect.h"
 
 enum {
@@ -17,6 +18,14 @@
 	HOUR_MS = 3600000,
 	SETTLED_MS = 20000, /* by then a mark is decided */
 	MANY = 5000,	    /* requests, more than are kept */
+	INSTANCES_MAX = 295,
+	CRASHES_MAX = 100,
+	STEP_MS = 50,	  /* between two tries of a request */
+	STORED_MS = 300,  /* by then a mark is in the store */
+	READ_MS = 2200,	  /* by then each instance has read it */
+	REPLACE_MS = 500, /* between two instances that are replaced */
+	CONTACT_MS = 3000,
+	RETRIES_MAX = 3, /* that users allow later than that */
 };
 
 /* What the test says of each server, and what became of marks. */
@@ -286,6 +295,102 @@
 	suspect_destroy(suspects);
 }
 
+/* Instances that learn of each mark from the store, each after a while. */
+struct instances {
+	struct view view;
+	struct suspects *list[INSTANCES_MAX];
+	guint count;
+	struct rng rng;
+	int64_t crashed_ms[CRASHES_MAX]; /* the marks, by server */
+	int64_t delay_ms[CRASHES_MAX][INSTANCES_MAX];
+	guint crashes;
+};
+
+static void learn(struct instances *all, guint i, guint server)
+{
+	struct suspect_mark mark = {REQUEST, "s", server,
+				    all->crashed_ms[server], SUSPECT_CRASHED};
+
+	suspect_add(all->list[i], &mark, all->crashed_ms[server]);
+}
+
+/* The instance is replaced, and reads what is in the store. */
+static void replace(struct instances *all, guint i, int64_t now)
+{
+	suspect_destroy(all->list[i]);
+	all->list[i] = create(&all->view);
+	for (guint server = 0; server < all->crashes; server++) {
+		if (now - all->crashed_ms[server] >= STORED_MS)
+			learn(all, i, server);
+	}
+}
+
+static void deliver(struct instances *all, int64_t now)
+{
+	for (guint server = 0; server < all->crashes; server++) {
+		for (guint i = 0; i < all->count; i++) {
+			if (now - all->crashed_ms[server] ==
+			    all->delay_ms[server][i])
+				learn(all, i, server);
+		}
+	}
+}
+
+/* The request comes to any instance; it crashes a server unless refused. */
+static bool try_request(struct instances *all, int64_t now)
+{
+	guint i = (guint)rng_below(&all->rng, all->count);
+	guint server = all->crashes;
+
+	if (is_refused(all->list[i], now) || server == CRASHES_MAX)
+		return false;
+	all->crashed_ms[server] = now;
+	for (guint other = 0; other < all->count; other++)
+		all->delay_ms[server][other] =
+			STORED_MS +
+			STEP_MS * (int64_t)rng_below(&all->rng,
+						     READ_MS / STEP_MS);
+	all->crashes++;
+	learn(all, i, server);
+	return true;
+}
+
+/* Guards against a request that is known to too few instances, or only until
+ * they are replaced. */
+static void test_many_instances_know_in_time(void **state)
+{
+	static const guint counts[] = {2, 11, INSTANCES_MAX};
+
+	(void)state;
+	for (size_t n = 0; n < G_N_ELEMENTS(counts); n++) {
+		struct instances *all = g_new0(struct instances, 1);
+		guint late = 0;
+
+		all->view.server = SUSPECT_SERVER_GONE;
+		all->count = counts[n];
+		all->rng.state = n + 1;
+		for (guint i = 0; i < all->count; i++)
+			all->list[i] = create(&all->view);
+		for (int64_t now = 0; now < MINUTE_MS; now += STEP_MS) {
+			deliver(all, now);
+			if (now % REPLACE_MS == 0)
+				replace(all,
+					(guint)rng_below(&all->rng, all->count),
+					now);
+			for (guint i = 0;
+			     now == MINUTE_MS / 2 && i < all->count; i++)
+				replace(all, i, now);
+			if (try_request(all, now) && all->crashes > 3 &&
+			    now > all->crashed_ms[2] + CONTACT_MS)
+				late++;
+		}
+		assert_in_range(late, 0, RETRIES_MAX);
+		for (guint i = 0; i < all->count; i++)
+			suspect_destroy(all->list[i]);
+		g_free(all);
+	}
+}
+
 static void test_refused_request_survives_many_others(void **state)
 {
 	struct view view = {SUSPECT_SERVER_GONE, {0}};
@@ -337,6 +442,7 @@
 		cmocka_unit_test(test_request_that_completes_is_sound),
 		cmocka_unit_test(test_request_in_doubt_is_tried_twice),
 		cmocka_unit_test(test_request_beyond_doubt_is_not_tried),
+		cmocka_unit_test(test_many_instances_know_in_time),
 		cmocka_unit_test(test_refused_request_survives_many_others),
 		cmocka_unit_test(test_fingerprint_tells_requests_apart),
 	};
