exchange: a trial lasts until a server may have run the request

The trial of a refused request met a server that could not be connected to; the request was asked about again, as before each attempt, and refused with its trial spent.

A trial now lasts until an attempt may have run.

test_sound_request_is_tried_again, with closed servers beside the sound one: fails 6 of 6 before, passes 6 of 6.

--- a/serve/crashes.c
+++ b/serve/crashes.c
@@ -188,11 +188,13 @@
 void crash_on_completed(struct crashes *crashes, const char *id,
 			uint64_t fingerprint)
 {
-	if (suspect_on_completed(crashes->suspects, fingerprint,
-				 clock_boot_ms()))
-		slog("cleared", id,
-		     "\"fingerprint\":\"%016" G_GINT64_MODIFIER "x\"",
-		     fingerprint);
+	if (!suspect_on_completed(crashes->suspects, fingerprint,
+				  clock_boot_ms()))
+		return;
+	slog("cleared", id, "\"fingerprint\":\"%016" G_GINT64_MODIFIER "x\"",
+	     fingerprint);
+	/* The others refuse it until the rows are gone. */
+	crash_rows_tick(crashes->rows, crashes->members);
 }
 
 bool crash_on_report(struct crashes *crashes, const struct suspect_mark *mark)
--- a/serve/exchange_int.h
+++ b/serve/exchange_int.h
@@ -33,7 +33,7 @@
 	struct fleet_server *awaited_server;
 	int64_t limit_wait_ms; /* until a server at its limit may get it */
 	uint64_t fingerprint;
-	bool is_trial; /* its next attempt, of a request that is refused */
+	bool is_trial; /* refused, but it may run once more */
 	GBytes *body;  /* as sent to the backend server */
 
 	struct turns_turn *turn;
--- a/serve/exchange_retry.c
+++ b/serve/exchange_retry.c
@@ -39,10 +39,12 @@
 	int64_t now_ms = clock_boot_ms();
 	enum retry_action action;
 
-	if (failure == RETRY_INTERRUPTED)
+	if (failure == RETRY_INTERRUPTED) {
 		x->retry.possible_runs++;
-	else
+		x->is_trial = false;
+	} else {
 		x->retry.refusals++;
+	}
 	exch_cancel_upstream(x);
 	x->head_received = false;
 	x->retry.remaining_ms = x->deadline_at_ms - now_ms;
@@ -67,7 +69,7 @@
 
 	if (x->is_trial || !crash_is_refused(crashes, x->fingerprint, wait_ms))
 		return false;
-	x->is_trial = x->retry.sends == 0 &&
+	x->is_trial = x->retry.possible_runs == 0 &&
 		      crash_take_trial(crashes, x->call.id, x->fingerprint);
 	return !x->is_trial;
 }
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -451,7 +451,6 @@
 	struct members_tunnel tunnel;
 
 	x->server = fleet_ref(server);
-	x->is_trial = false;
 	x->sent_ms = now_ms;
 	x->retry.sends++;
 	x->head_received = false;
--- a/test/unit/test_crashing_request.c
+++ b/test/unit/test_crashing_request.c
@@ -19,6 +19,8 @@
 #include "test/gateway/fixture.h"
 
 #define BODY "crashes servers"
+#define SOUND_BODY "sound"
+#define CLOSED_ADDRESS "127.0.0.1:18409"
 #define CRASHES_TABLE "aps-crashes"
 
 enum {
@@ -34,6 +36,7 @@
 	RETRY_GAP_MS = 100,
 	LEAVE_MS = 200, /* a caller waits */
 	FORGOTTEN_MS = 3700000,
+	TRIAL_MS = 5000, /* by then a refused request is tried again */
 };
 
 /* A server and its starts. */
@@ -104,7 +107,8 @@
 	int64_t down_ms = crashes->is_silent ? SILENT_DOWN_MS : DOWN_MS;
 	int64_t since_ms;
 
-	if (server->crashed_ms == 0 && backend_has_crashed(*server->backend))
+	if (server->crashed_ms == 0 && *server->backend != NULL &&
+	    backend_has_crashed(*server->backend))
 		on_crash(crashes, server);
 	if (server->crashed_ms == 0)
 		return;
@@ -369,6 +373,71 @@
 	assert_int_equal(crashes.count, CRASHES_MAX + 1);
 }
 
+static void leave_one_server(struct crashes *crashes)
+{
+	stop_server(&crashes->servers[1]);
+	unlist_server(&crashes->servers[1]);
+	run_until(crashes, NULL, RETRY_GAP_MS);
+}
+
+/* Lists servers that can't be connected to. */
+static void add_closed_servers(struct crashes *crashes)
+{
+	static const char *const ids[] = {"a1", "a2", "a3", "a4"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
+		fixture_put_server(ids[i], "shop", CLOSED_ADDRESS, "ready");
+	run_until(crashes, NULL, RETRY_GAP_MS);
+}
+
+/* A sound request waits at the server when the other one crashes it. */
+static void crash_beside(struct crashes *crashes, const char *sound)
+{
+	struct fixture_response beside;
+
+	backend_set_mode(*crashes->servers[0].backend, BACKEND_NO_RESPONSE);
+	fixture_send(&beside, 0, "POST", "/order/x",
+		     AUTH_HEADER "Request-Id: beside\r\n", sound);
+	while (backend_runs(*crashes->servers[0].backend)->len == 0)
+		run_until(crashes, NULL, 10);
+	(void)try_once(crashes, 1, "POST", "/order/x");
+	run_until(crashes, &beside.done, RESPONSE_TIMEOUT_MS);
+	fixture_response_clear(&beside);
+}
+
+/* Guards against sound requests that are refused for good, since they were at
+ * servers that others crashed. */
+static void test_sound_request_is_tried_again(void **state)
+{
+	struct crashes crashes = {.body = BODY};
+	int64_t deadline_ms;
+	int status = 0;
+
+	(void)state;
+	set_up_servers(&crashes, false);
+	leave_one_server(&crashes);
+	while (crashes.count < CRASHES_MAX)
+		crash_beside(&crashes, SOUND_BODY);
+	crashes.body = SOUND_BODY;
+	add_closed_servers(&crashes);
+	assert_int_equal(try_once(&crashes, 0, "POST", "/order/x"), 503);
+	deadline_ms = clock_boot_ms() + TRIAL_MS;
+	for (int i = 0; status != 200 && clock_boot_ms() < deadline_ms; i++)
+		status = try_once(&crashes, i % GATEWAY_COUNT, "POST",
+				  "/order/x");
+	assert_int_equal(status, 200);
+	run_until(&crashes, NULL, CONTACT_MS);
+	for (int i = 0; i < GATEWAY_COUNT; i++)
+		assert_int_equal(try_once(&crashes, i, "POST", "/order/x"),
+				 200);
+	crashes.body = BODY;
+	for (int i = 0; i < TRIES; i++)
+		assert_int_equal(try_once(&crashes, i % GATEWAY_COUNT, "POST",
+					  "/order/x"),
+				 503);
+	assert_int_equal(crashes.count, CRASHES_MAX);
+}
+
 /* Sends the request at once so often, and again when all have ended. */
 static void try_concurrently(struct crashes *crashes, const char *method,
 			     const char *path)
@@ -421,6 +490,7 @@
 		FIXTURE_TEST(test_crash_during_an_outage_of_the_store),
 		FIXTURE_TEST(test_completed_request_is_cleared_everywhere),
 		FIXTURE_TEST(test_crashes_are_forgotten_in_the_end),
+		FIXTURE_TEST(test_sound_request_is_tried_again),
 		FIXTURE_TEST(test_many_tries_of_a_crashing_request),
 	};
 
