suspect: bystanders are no doubt, and the second trial comes after 10 s

The second trial comes 10 s after the first. In return fewer requests are tried: only if another request with marks of two starts or more shares a server. Those that were beside a request that crashes servers and may run only once are never cleared, but have one mark each; they had made it a case of doubt.

--- a/decide/suspect.c
+++ b/decide/suspect.c
@@ -10,8 +10,9 @@
 	/* By then the entry of a server that ended is gone from the list. */
 	OPEN_MAX_MS = 15000,
 	MARK_MAX_MS = 3600000,
-	REQUESTS_MAX = 4096,  /* with marks */
-	MARKS_MAX = 8,	      /* of a request; the oldest goes first */
+	REQUESTS_MAX = 4096, /* with marks */
+	MARKS_MAX = 8,	     /* of a request; the oldest goes first */
+	DOUBT_SERVERS = 2, /* those of one may have ended for another reason */
 	COMPLETED_MS = 30000, /* a request that ran to the end is sound */
 	COMPLETED_SLOTS = 4096,
 	TRIALS = 2,	       /* of a refused request; users allow three */
@@ -19,7 +20,7 @@
 };
 
 /* Time from the last crash, or the last trial, to the next one. */
-static const int64_t trial_delays_ms[TRIALS] = {3000, 60000};
+static const int64_t trial_delays_ms[TRIALS] = {3000, 10000};
 
 struct mark {
 	struct suspect_mark public;
@@ -343,7 +344,7 @@
 	return MAX(from_ms + trial_delays_ms[trials] - now, 0);
 }
 
-/* Whether another request had the server of @mark too. */
+/* Whether another request that is suspected had the server of @mark too. */
 static bool is_shared(const struct suspects *suspects,
 		      const struct request *request,
 		      const struct suspect_mark *mark)
@@ -354,7 +355,8 @@
 
 	g_hash_table_iter_init(&it, suspects->requests);
 	while (g_hash_table_iter_next(&it, NULL, &other)) {
-		if (other != request && find_mark(other, mark, &index) != NULL)
+		if (other != request && count_marks(other) >= DOUBT_SERVERS &&
+		    find_mark(other, mark, &index) != NULL)
 			return true;
 	}
 	return false;
--- a/decide/suspect.h
+++ b/decide/suspect.h
@@ -16,8 +16,9 @@
  *
  * A sound request may have been at servers that others crashed. As long as it
  * is refused it can't complete, so it may be tried a few times more if one of
- * these others is still suspected too. A request that crashes servers is mostly
- * the only one left: those that were beside it have completed since.
+ * these others has marks of several starts. A request that crashes servers is
+ * mostly the only such one: those that were beside it have one mark each, or
+ * have completed since.
  */
 #ifndef APS_SUSPECT_H
 #define APS_SUSPECT_H
