crash_rows: rows that were removed while the history was lost are noticed

An instance that had to read the table of marks again (the store had discarded its history) kept marks whose rows had gone in between: a request that had been cleared was refused there for up to an hour.

Rows that a complete read does not have are removed now. test_cleared_request_after_lost_history: refused (503) before, sent (502) now.

--- a/serve/crash_rows.c
+++ b/serve/crash_rows.c
@@ -26,6 +26,7 @@
 	struct suspect_mark mark;
 	char *server;
 	bool stored;	/* it may be in the store */
+	bool seen;	/* by the present read of the table */
 	bool own;	/* this instance wrote it */
 	bool wanted;	/* it is to be in the store */
 	int64_t due_ms; /* of the next write; 0: none */
@@ -256,16 +257,6 @@
 	send_due(rows, G_MAXINT64);
 }
 
-static void on_begin(void *arg)
-{
-	(void)arg;
-}
-
-static void on_read(void *arg)
-{
-	(void)arg;
-}
-
 /* Somebody removed a row. */
 static void on_row_removed(struct crash_rows *rows, const char *key)
 {
@@ -309,12 +300,42 @@
 	row = get_row(rows, &mark);
 	if (row != NULL) {
 		row->stored = true;
+		row->seen = true;
 		row->wanted |= row->due_ms == 0;
 	}
 	rows->handler.on_mark(rows->handler.arg, &mark);
 	rows__crash__free_unpacked(message, NULL);
 }
 
+static void on_begin(void *arg)
+{
+	struct crash_rows *rows = arg;
+	GHashTableIter it;
+	gpointer row;
+
+	g_hash_table_iter_init(&it, rows->rows);
+	while (g_hash_table_iter_next(&it, NULL, &row))
+		((struct row *)row)->seen = false;
+}
+
+/* The table was read: rows that it does not have were removed unseen. */
+static void on_read(void *arg)
+{
+	struct crash_rows *rows = arg;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, rows->rows);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct row *row = value;
+
+		if (row->seen || !row->stored || row->due_ms != 0)
+			continue;
+		rows->handler.on_removed(rows->handler.arg, &row->mark);
+		g_hash_table_iter_remove(&it);
+	}
+}
+
 struct crash_rows *crash_rows_create(struct event_base *base,
 				     struct store *store,
 				     const struct crash_rows_handler *handler)
--- a/test/gateway/fixture.c
+++ b/test/gateway/fixture.c
@@ -212,6 +212,22 @@
 	assert_non_null(fx.gateways[i]);
 }
 
+void fixture_kill_gateway(int i)
+{
+	gw_destroy(fx.gateways[i]);
+	fx.gateways[i] = NULL;
+	upstream_close_idle(&fx.idle[i]);
+}
+
+void fixture_kill_all(void)
+{
+	for (int i = 0; i < GATEWAY_COUNT; i++)
+		fixture_kill_gateway(i);
+	for (int i = 0; i < GATEWAY_COUNT; i++)
+		fixture_start_gateway(i);
+	fixture_wait_until_ready();
+}
+
 void fixture_wait_until_ready(void)
 {
 	int64_t deadline_ms = clock_boot_ms() + READY_TIMEOUT_MS;
--- a/test/gateway/fixture.h
+++ b/test/gateway/fixture.h
@@ -99,6 +99,10 @@
 		 const char *path);
 bool fixture_is_ready(int gateway);
 void fixture_start_gateway(int i);
+/** Ends an instance at once, without a shutdown. */
+void fixture_kill_gateway(int i);
+/** Kills all instances, starts them and waits until they are ready. */
+void fixture_kill_all(void);
 /** Waits until both instances are ready. */
 void fixture_wait_until_ready(void);
 /** Cancels the request if it has not ended, and frees the response. */
--- a/test/unit/test_crashing_request.c
+++ b/test/unit/test_crashing_request.c
@@ -204,8 +204,7 @@
 
 static void restart(struct crashes *crashes, int gateway)
 {
-	gw_destroy(fx.gateways[gateway]);
-	upstream_close_idle(&fx.idle[gateway]);
+	fixture_kill_gateway(gateway);
 	fixture_start_gateway(gateway);
 	fixture_wait_until_ready();
 	run_until(crashes, NULL, RETRY_GAP_MS);
@@ -296,13 +295,7 @@
 
 static void kill_all(struct crashes *crashes)
 {
-	for (int i = 0; i < GATEWAY_COUNT; i++) {
-		gw_destroy(fx.gateways[i]);
-		upstream_close_idle(&fx.idle[i]);
-	}
-	for (int i = 0; i < GATEWAY_COUNT; i++)
-		fixture_start_gateway(i);
-	fixture_wait_until_ready();
+	fixture_kill_all();
 	run_until(crashes, NULL, RETRY_GAP_MS);
 }
 
@@ -357,6 +350,29 @@
 	assert_int_equal(rowstore_count_rows(fx.store, CRASHES_TABLE), 0);
 }
 
+/* Guards against marks that are kept since nobody saw their rows go. */
+static void test_cleared_request_after_lost_history(void **state)
+{
+	struct crashes crashes = {.body = BODY};
+
+	(void)state;
+	set_up_servers(&crashes, false);
+	while (crashes.count < CRASHES_MAX - 1)
+		(void)try_once(&crashes, 0, "POST", "/order/x");
+	run_until(&crashes, NULL, CONTACT_MS);
+	assert_int_equal(rowstore_count_rows(fx.store, CRASHES_TABLE),
+			 CRASHES_MAX - 1);
+	rowstore_set_mode(fx.store, ROWSTORE_UNAVAILABLE);
+	run_until(&crashes, NULL, RETRY_GAP_MS);
+	rowstore_remove_up_to(fx.store, rowstore_version(fx.store));
+	rowstore_compact(fx.store);
+	rowstore_set_mode(fx.store, ROWSTORE_OK);
+	run_until(&crashes, NULL, CONTACT_MS);
+	for (int i = 1; i < CRASHES_MAX; i++)
+		assert_int_equal(try_once(&crashes, 1, "POST", "/order/x"),
+				 502);
+}
+
 static void test_crashes_are_forgotten_in_the_end(void **state)
 {
 	struct crashes crashes = {.body = BODY};
@@ -489,6 +505,7 @@
 		FIXTURE_TEST(test_crashes_are_known_to_a_late_instance),
 		FIXTURE_TEST(test_crash_during_an_outage_of_the_store),
 		FIXTURE_TEST(test_completed_request_is_cleared_everywhere),
+		FIXTURE_TEST(test_cleared_request_after_lost_history),
 		FIXTURE_TEST(test_crashes_are_forgotten_in_the_end),
 		FIXTURE_TEST(test_sound_request_is_tried_again),
 		FIXTURE_TEST(test_many_tries_of_a_crashing_request),
--- a/test/unit/test_stream_version.c
+++ b/test/unit/test_stream_version.c
@@ -49,8 +49,7 @@
 
 static void restart_gateway(int i)
 {
-	gw_destroy(fx.gateways[i]);
-	upstream_close_idle(&fx.idle[i]);
+	fixture_kill_gateway(i);
 	fixture_start_gateway(i);
 	for (int ms = 0; ms < RESPONSE_TIMEOUT_MS && !fixture_is_ready(i);
 	     ms += 20)
@@ -209,18 +208,6 @@
 	}
 }
 
-/* All instances are killed at once, and come back. */
-static void kill_all(void)
-{
-	for (int i = 0; i < GATEWAY_COUNT; i++) {
-		gw_destroy(fx.gateways[i]);
-		upstream_close_idle(&fx.idle[i]);
-	}
-	for (int i = 0; i < GATEWAY_COUNT; i++)
-		fixture_start_gateway(i);
-	fixture_wait_until_ready();
-}
-
 /* Guards against streams joined from two versions after a kill of all. */
 static void test_two_versions_and_a_kill_of_all(void **state)
 {
@@ -232,7 +219,7 @@
 		put_all_engines(others[i]);
 		begin_stream(&response, 0, others[i]);
 		fixture_response_clear(&response);
-		kill_all();
+		fixture_kill_all();
 		resume_stream(&response, (int)i, resumed, others[i]);
 		assert_resumed(&response);
 		assert_string_not_equal(target_of(last_run(resumed)),
@@ -262,38 +249,41 @@
 	assert_in_range(tries, 2, G_MAXINT);
 }
 
-/* The servers of the version that began the stream left before the kill: to the
- * instances that come back, the other version is the only one. */
-static void test_version_that_left_before_a_kill_of_all(void **state)
+/* Begins a stream while there is one version, and returns when. */
+static int64_t begin_unrecorded(const char *id)
 {
 	struct fixture_response response;
 	int64_t begun_ms;
 
-	(void)state;
 	fixture_run_until(NULL, WATCHED_MS);
 	begun_ms = clock_boot_ms();
-	begin_stream(&response, 0, "b");
+	begin_stream(&response, 0, id);
 	fixture_response_clear(&response);
+	return begun_ms;
+}
+
+/* The servers of the version that began the stream left before the kill: to the
+ * instances that come back, the other version is the only one. */
+static void test_version_that_left_before_a_kill_of_all(void **state)
+{
+	int64_t begun_ms = begin_unrecorded("b");
+
+	(void)state;
 	put_other("e2");
 	rowstore_put(fx.store, "servers", "", "e1", NULL);
 	fixture_run_until(NULL, LISTED_MS);
-	kill_all();
+	fixture_kill_all();
 	assert_not_resumed_at_e2("b", begun_ms + STREAM_LIMIT_MS);
 }
 
 /* The same, but both versions are there, and the stream has no record. */
 static void test_unrecorded_stream_and_a_kill_of_all(void **state)
 {
-	struct fixture_response response;
-	int64_t begun_ms;
+	int64_t begun_ms = begin_unrecorded("b");
 
 	(void)state;
-	fixture_run_until(NULL, WATCHED_MS);
-	begun_ms = clock_boot_ms();
-	begin_stream(&response, 0, "b");
-	fixture_response_clear(&response);
 	put_other("e2");
-	kill_all();
+	fixture_kill_all();
 	assert_not_resumed_at_e2("b", begun_ms + STREAM_LIMIT_MS);
 }
 
