--- a/decide/suspect.c
+++ b/decide/suspect.c
@@ -23,7 +23,7 @@
 static const int64_t trial_delays_ms[TRIALS] = {3000, 10000};
 
 struct mark {
-	struct suspect_mark public;
+	struct suspect_mark data;
 	char *server;
 };
 
@@ -98,7 +98,7 @@
 
 static bool counts(const struct mark *mark)
 {
-	return mark->public.evidence != SUSPECT_SILENT;
+	return mark->data.evidence != SUSPECT_SILENT;
 }
 
 static guint count_marks(const struct request *request)
@@ -115,7 +115,7 @@
 	const struct mark *last =
 		g_ptr_array_index(request->marks, request->marks->len - 1);
 
-	return last->public.ended_ms;
+	return last->data.ended_ms;
 }
 
 /* Makes room by the request that was suspected longest ago, but not by one that
@@ -162,7 +162,7 @@
 static bool is_same_start(const struct mark *mark,
 			  const struct suspect_mark *other)
 {
-	return mark->public.started_ms == other->started_ms &&
+	return mark->data.started_ms == other->started_ms &&
 	       strcmp(mark->server, other->server) == 0;
 }
 
@@ -200,7 +200,7 @@
 static void report(const struct suspects *suspects, const struct mark *mark,
 		   enum suspect_change change)
 {
-	suspects->handler.changed(suspects->handler.arg, &mark->public, change);
+	suspects->handler.changed(suspects->handler.arg, &mark->data, change);
 }
 
 bool suspect_add(struct suspects *suspects, const struct suspect_mark *mark,
@@ -221,16 +221,16 @@
 	if (known != NULL) {
 		bool counted = counts(known);
 
-		known->public.evidence =
-			MAX(known->public.evidence, mark->evidence);
+		known->data.evidence =
+			MAX(known->data.evidence, mark->evidence);
 		return counts(known) && !counted;
 	}
 	if (request->marks->len >= MARKS_MAX)
 		g_ptr_array_remove_index(request->marks, 0);
 	known = g_new0(struct mark, 1);
-	known->public = *mark;
+	known->data = *mark;
 	known->server = g_strdup(mark->server);
-	known->public.server = known->server;
+	known->data.server = known->server;
 	g_ptr_array_add(request->marks, known);
 	return true;
 }
@@ -269,19 +269,19 @@
 static bool settle_mark(struct suspects *suspects, struct mark *mark,
 			int64_t now)
 {
-	if (now - mark->public.ended_ms > MARK_MAX_MS) {
+	if (now - mark->data.ended_ms > MARK_MAX_MS) {
 		report(suspects, mark, SUSPECT_EXPIRED);
 		return false;
 	}
-	if (mark->public.evidence == SUSPECT_CRASHED)
+	if (mark->data.evidence == SUSPECT_CRASHED)
 		return true;
-	if (is_disproved(suspects, &mark->public, now)) {
+	if (is_disproved(suspects, &mark->data, now)) {
 		report(suspects, mark, SUSPECT_DISPROVED);
 		return false;
 	}
-	if (server_of(suspects, &mark->public) == SUSPECT_SERVER_GONE) {
+	if (server_of(suspects, &mark->data) == SUSPECT_SERVER_GONE) {
 		report(suspects, mark, SUSPECT_CONFIRMED);
-		mark->public.evidence = SUSPECT_CRASHED;
+		mark->data.evidence = SUSPECT_CRASHED;
 	}
 	return true;
 }
@@ -321,12 +321,12 @@
 	for (guint i = request->marks->len; i > 0 && left > 0; i--) {
 		const struct mark *mark =
 			g_ptr_array_index(request->marks, i - 1);
-		int64_t age_ms = now - mark->public.ended_ms;
+		int64_t age_ms = now - mark->data.ended_ms;
 
 		if (!counts(mark))
 			continue;
 		left--;
-		wait_ms = MIN(wait_ms, mark->public.evidence == SUSPECT_CRASHED
+		wait_ms = MIN(wait_ms, mark->data.evidence == SUSPECT_CRASHED
 					       ? MARK_MAX_MS - age_ms
 					       : MAX(OPEN_MAX_MS - age_ms, 1));
 	}
@@ -368,7 +368,7 @@
 	for (guint i = 0; i < request->marks->len; i++) {
 		const struct mark *mark = g_ptr_array_index(request->marks, i);
 
-		if (is_shared(suspects, request, &mark->public))
+		if (is_shared(suspects, request, &mark->data))
 			return true;
 	}
 	return false;
--- a/serve/crash_rows.c
+++ b/serve/crash_rows.c
@@ -185,9 +185,10 @@
 	row->sent_wanted = row->wanted;
 }
 
-/* Writes the rows that are due by @due_ms. */
-static void send_due(struct crash_rows *rows, int64_t due_ms)
+/* Writes the rows that are due. */
+static void send_due(struct crash_rows *rows)
 {
+	int64_t now_ms = clock_boot_ms();
 	int64_t store_now_ms = store_clock_ms(rows->store);
 	struct store_tx *tx = NULL;
 	GHashTableIter it;
@@ -195,15 +196,14 @@
 	gpointer value;
 	guint count = 0;
 
-	if (rows->call != NULL || store_now_ms == 0 ||
-	    clock_boot_ms() < rows->retry_ms)
+	if (rows->call != NULL || store_now_ms == 0 || now_ms < rows->retry_ms)
 		return;
 	g_hash_table_iter_init(&it, rows->rows);
 	while (count < TX_ROWS_MAX &&
 	       g_hash_table_iter_next(&it, &key, &value)) {
 		struct row *row = value;
 
-		if (row->due_ms == 0 || row->due_ms > due_ms)
+		if (row->due_ms == 0 || row->due_ms > now_ms)
 			continue;
 		if (!row->wanted && !row->stored) {
 			g_hash_table_iter_remove(&it);
@@ -249,12 +249,7 @@
 		return;
 	if (members != NULL)
 		remove_expired(rows, members);
-	send_due(rows, clock_boot_ms());
-}
-
-void crash_rows_flush(struct crash_rows *rows)
-{
-	send_due(rows, G_MAXINT64);
+	send_due(rows);
 }
 
 /* Somebody removed a row. */
--- a/serve/crash_rows.h
+++ b/serve/crash_rows.h
@@ -39,7 +39,5 @@
 			 const struct suspect_mark *mark);
 /** Writes what is due; called a few times per second. */
 void crash_rows_tick(struct crash_rows *rows, const struct members *members);
-/** Writes all that is still to be written, without delay. */
-void crash_rows_flush(struct crash_rows *rows);
 
 #endif
--- a/serve/crashes.c
+++ b/serve/crashes.c
@@ -233,8 +233,3 @@
 	suspect_settle(crashes->suspects, clock_boot_ms());
 	crash_rows_tick(crashes->rows, crashes->members);
 }
-
-void crash_flush(struct crashes *crashes)
-{
-	crash_rows_flush(crashes->rows);
-}
--- a/serve/crashes.h
+++ b/serve/crashes.h
@@ -51,7 +51,5 @@
 		      uint64_t fingerprint);
 /** Decides what has been left open; called a few times per second. */
 void crash_tick(struct crashes *crashes);
-/** Stores what is known, before this instance ends. */
-void crash_flush(struct crashes *crashes);
 
 #endif
--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -257,7 +257,6 @@
 	slog("stop", NULL, "\"grace_s\":%u", gw->settings->grace_s);
 	inbound_drain(gw->callers);
 	members_leave(gw->shared.members);
-	crash_flush(gw->shared.crashes);
 }
 
 bool gw_stopped(const struct gw *gw)
