suspect: an acquitted request leaves no entry without marks

Found by reading the change: when a request that was about to be refused turned out to be acquitted (all its servers live), its entry stayed without marks until the next tick. If the table was full in that moment, making room read the last mark of that entry, past its array: the instance would have ended.

suspect_is_refused() removes such an entry, as suspect_settle() does. test_acquitted_request_and_many_others: segmentation fault before, passes now.

--- a/decide/suspect.c
+++ b/decide/suspect.c
@@ -286,7 +286,8 @@
 	return true;
 }
 
-static void settle_request(struct suspects *suspects, struct request *request,
+/* Returns whether the request has marks left; without any it must go. */
+static bool settle_request(struct suspects *suspects, struct request *request,
 			   int64_t now)
 {
 	for (guint i = 0; i < request->marks->len;) {
@@ -296,6 +297,7 @@
 		else
 			g_ptr_array_remove_index(request->marks, i);
 	}
+	return request->marks->len > 0;
 }
 
 void suspect_settle(struct suspects *suspects, int64_t now)
@@ -305,8 +307,7 @@
 
 	g_hash_table_iter_init(&it, suspects->requests);
 	while (g_hash_table_iter_next(&it, NULL, &request)) {
-		settle_request(suspects, request, now);
-		if (((struct request *)request)->marks->len == 0)
+		if (!settle_request(suspects, request, now))
 			g_hash_table_iter_remove(&it);
 	}
 }
@@ -389,12 +390,16 @@
 bool suspect_is_refused(struct suspects *suspects, uint64_t fingerprint,
 			int64_t now, int64_t *wait_ms)
 {
+	gint64 key = (gint64)fingerprint;
 	struct request *request = find_request(suspects, fingerprint);
 	int64_t trial_ms;
 
 	if (request == NULL || count_marks(request) < REFUSAL_SERVERS)
 		return false;
-	settle_request(suspects, request, now);
+	if (!settle_request(suspects, request, now)) {
+		g_hash_table_remove(suspects->requests, &key);
+		return false;
+	}
 	if (count_marks(request) < REFUSAL_SERVERS)
 		return false;
 	*wait_ms = refusal_ms(request, now);
--- a/test/unit/test_suspect.c
+++ b/test/unit/test_suspect.c
@@ -430,6 +430,28 @@
 	suspect_destroy(suspects);
 }
 
+/* Guards against an entry without marks when room is made for another. */
+static void test_acquitted_request_and_many_others(void **state)
+{
+	struct view view = {SUSPECT_SERVER_LISTED, {0}};
+	struct suspects *suspects = create(&view);
+
+	(void)state;
+	add(suspects, "s1", SUSPECT_BROKEN, 0);
+	add(suspects, "s2", SUSPECT_BROKEN, 0);
+	add(suspects, "s3", SUSPECT_BROKEN, 0);
+	view.server = SUSPECT_SERVER_ALIVE;
+	assert_false(is_refused(suspects, 200));
+	view.server = SUSPECT_SERVER_LISTED;
+	for (uint64_t i = 0; i < MANY; i++) {
+		struct suspect_mark mark = {OTHER_REQUEST + i, "s1", 1,
+					    (int64_t)i, SUSPECT_BROKEN};
+
+		assert_true(suspect_add(suspects, &mark, (int64_t)i));
+	}
+	suspect_destroy(suspects);
+}
+
 static void test_fingerprint_tells_requests_apart(void **state)
 {
 	uint64_t first = suspect_fingerprint("a", "POST", "/p", "body", 4);
@@ -465,6 +487,7 @@
 		cmocka_unit_test(test_request_beyond_doubt_is_not_tried),
 		cmocka_unit_test(test_many_instances_know_in_time),
 		cmocka_unit_test(test_refused_request_survives_many_others),
+		cmocka_unit_test(test_acquitted_request_and_many_others),
 		cmocka_unit_test(test_fingerprint_tells_requests_apart),
 	};
 
