crashes: a 421 of the next server is no sign of life

A server that crashed is back at its address under a new id while its old entry is still listed. What is sent to the old id gets 421 from the new one; those bytes were taken for a sign that the old start lives, and its marks were disproved.

Such a response says the opposite: the start has ended, and its marks are confirmed at once. Only other responses count as heard.

--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -368,5 +368,6 @@
 
 void fleet_on_replaced(struct fleet_server *server, int64_t now)
 {
+	server->replaced = true;
 	server->avoid_until_ms = now + AVOID_REPLACED_MS;
 }
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -51,6 +51,7 @@
 	int64_t reported_at_ms; /**< time of that report; 0: none */
 	uint32_t running_then;	/**< @ref running at that time */
 	int64_t heard_ms;	/**< last byte of a response; 0: none */
+	bool replaced;		/**< another server has its address */
 	int64_t avoid_until_ms; /**< end of the backoff after a failure */
 	uint32_t failures;	/**< consecutive */
 	GQueue *send_times;	/**< of the sends of the last second */
@@ -160,7 +161,8 @@
 void fleet_on_response(struct fleet_server *server, bool fault, int64_t now);
 /** Updates the smoothed time between events from a stream of the server. */
 void fleet_update_event_gap(struct fleet_server *server, double gap_ms);
-/** Avoids the server for a while: another id answers at its address. */
+/** Avoids the server for a while: another id answers at its address, so that
+ * this start has ended. */
 void fleet_on_replaced(struct fleet_server *server, int64_t now);
 
 #endif
--- a/serve/crashes.c
+++ b/serve/crashes.c
@@ -53,6 +53,8 @@
 		fleet_find(crashes->fleet, mark->server);
 	bool listed = server != NULL && server->started_ms == mark->started_ms;
 
+	if (listed && server->replaced)
+		return SUSPECT_SERVER_GONE;
 	/* A server that announces its end has not crashed. */
 	if (listed && (server->draining ||
 		       server->heard_ms > mark->ended_ms + ALIVE_MARGIN_MS))
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -215,7 +215,8 @@
 {
 	int64_t now_ms = clock_boot_ms();
 
-	fleet_on_heard(x->server, now_ms);
+	if (!x->response.misdirected)
+		fleet_on_heard(x->server, now_ms);
 	if (x->tunnel == NULL)
 		links_on_received(x->shared->links, now_ms);
 }
@@ -232,8 +233,8 @@
 {
 	struct exch *x = arg;
 
-	note_received(x);
 	wire_parse_response(head, &x->response);
+	note_received(x);
 	x->head_received = true;
 	if (x->response.has_load)
 		fleet_on_load_report(x->server, x->response.running,
--- a/test/soak/crashes.c
+++ b/test/soak/crashes.c
@@ -87,6 +87,7 @@
 	if (server->backend == NULL)
 		return false;
 	backend_set_crash(server->backend, CRASH_BODY, BACKEND_CRASH_AT_ONCE);
+	backend_check_target(server->backend);
 	row = g_strdup_printf("{\"service\":\"fragile\",\"address\":\"%s\","
 			      "\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,"
 			      "\"state\":\"ready\",\"cold_left_ms\":0,"
--- a/test/standins/backend.c
+++ b/test/standins/backend.c
@@ -26,6 +26,7 @@
 	const char *limit_per_s; /* named in each response, or NULL */
 	bool crashes;		 /* at requests with the body crash_body */
 	const char *crash_body;
+	bool checks_target;
 	enum backend_crash crash;
 	bool has_crashed;
 	GPtrArray *runs;
@@ -264,6 +265,15 @@
 	g_string_free(headers, TRUE);
 }
 
+static bool is_meant_for(const struct backend *backend,
+			 const struct inbound_request *request)
+{
+	const char *target = hdr_get(request->headers, "Target-Instance");
+
+	return !backend->checks_target || target == NULL ||
+	       strcmp(target, backend->id) == 0;
+}
+
 static bool crashes_at(const struct backend *backend,
 		       const struct backend_run *run)
 {
@@ -280,16 +290,17 @@
 	struct backend_run *run;
 	GString *headers;
 	bool crashes;
+	bool misdirected;
 
 	if (backend->has_crashed)
 		return;
-	if (backend->mode == BACKEND_REFUSE ||
-	    backend->mode == BACKEND_MISDIRECTED) {
+	misdirected = backend->mode == BACKEND_MISDIRECTED ||
+		      !is_meant_for(backend, request);
+	if (backend->mode == BACKEND_REFUSE || misdirected) {
 		headers = response_headers(backend, request);
 		g_string_append(headers, "Not-Executed: 1\r\n");
-		inbound_reply(request,
-			      backend->mode == BACKEND_MISDIRECTED ? 421 : 503,
-			      headers->str, NULL, 0);
+		inbound_reply(request, misdirected ? 421 : 503, headers->str,
+			      NULL, 0);
 		g_string_free(headers, TRUE);
 		return;
 	}
@@ -380,6 +391,11 @@
 	backend->crash = how;
 }
 
+void backend_check_target(struct backend *backend)
+{
+	backend->checks_target = true;
+}
+
 bool backend_has_crashed(const struct backend *backend)
 {
 	return backend->has_crashed;
--- a/test/standins/backend.h
+++ b/test/standins/backend.h
@@ -78,6 +78,8 @@
  * more, and its connections stay open until it is destroyed. */
 void backend_set_crash(struct backend *backend, const char *body,
 		       enum backend_crash how);
+/** Refuses requests that are meant for another server from now on: 421. */
+void backend_check_target(struct backend *backend);
 /** Whether the server has crashed. */
 bool backend_has_crashed(const struct backend *backend);
 /** Names a rate limit, @p per_s requests a second, in each response from now
--- a/test/unit/test_crashing_request.c
+++ b/test/unit/test_crashing_request.c
@@ -29,6 +29,7 @@
 	RETRIES_MAX = 3, /* that may reach a server after that */
 	CONTACT_MS = 3000,
 	TRIES = 8,
+	SOUND_TRIES = 4,
 	CONCURRENT = 10,
 	DOWN_MS = 300,		  /* of a server whose connections are closed */
 	SILENT_DOWN_MS = 1800,	  /* of a server that falls silent */
@@ -47,7 +48,9 @@
 	const char *address;
 	int starts;
 	char id[32];
-	int64_t crashed_ms; /* 0: it runs */
+	char old_id[32];    /* of the last start, while it is listed; or "" */
+	int64_t crashed_ms; /* of the present start; 0: it runs */
+	int64_t ended_ms;   /* of the last start */
 	bool listed;
 };
 
@@ -59,6 +62,7 @@
 	bool is_silent;	  /* connections stay open */
 	bool keeps_id;	  /* a server starts again under its id */
 	bool is_left;	  /* the caller disconnects before the response */
+	bool is_listed;	  /* for a while after the server has ended */
 	guint count;	  /* servers that have crashed */
 	int64_t third_ms; /* when the third one did */
 };
@@ -77,6 +81,7 @@
 					  STREAM_EVENTS, EVENT_GAP_MS);
 	assert_non_null(*server->backend);
 	backend_set_crash(*server->backend, crashes->body, crashes->how);
+	backend_check_target(*server->backend);
 	fixture_put_started(server->id, server->service, server->address,
 			    server->starts);
 }
@@ -120,11 +125,24 @@
 		return;
 	if (*server->backend != NULL)
 		stop_server(server);
-	if (server->listed && !crashes->keeps_id)
+	if (crashes->is_listed)
+		g_strlcpy(server->old_id, server->id, sizeof(server->old_id));
+	else if (server->listed && !crashes->keeps_id)
 		unlist_server(server);
+	server->ended_ms = server->crashed_ms;
 	start_server(crashes, server);
 }
 
+/* Removes the entry of the last start, some time after its end. */
+static void step_old_entry(struct server *server)
+{
+	if (*server->old_id == '\0' ||
+	    clock_boot_ms() - server->ended_ms <= UNLISTED_AFTER_MS)
+		return;
+	rowstore_put(fx.store, "servers", "", server->old_id, NULL);
+	*server->old_id = '\0';
+}
+
 /* Runs the event loop and the servers until @p flag, if any, is set. */
 static void run_until(struct crashes *crashes, const bool *flag, int64_t ms)
 {
@@ -132,8 +150,10 @@
 
 	while ((flag == NULL || !*flag) && clock_boot_ms() < deadline_ms) {
 		fixture_run_until(NULL, 2);
-		for (int i = 0; i < SERVERS; i++)
+		for (int i = 0; i < SERVERS; i++) {
 			step_server(crashes, &crashes->servers[i]);
+			step_old_entry(&crashes->servers[i]);
+		}
 	}
 }
 
@@ -246,6 +266,25 @@
 	try_often(&crashes, TRIES, "POST", "/order/x");
 }
 
+/* The new start refuses what is meant for the last one, whose entry is still in
+ * the list: that is no sign of life. */
+static void test_crash_of_servers_that_stay_listed(void **state)
+{
+	struct crashes crashes = {.body = BODY, .is_listed = true};
+
+	(void)state;
+	set_up_servers(&crashes, false);
+	for (int i = 0; i < TRIES; i++) {
+		(void)try_once(&crashes, i % GATEWAY_COUNT, "POST", "/order/x");
+		crashes.body = SOUND_BODY;
+		for (int sound = 0; sound < SOUND_TRIES; sound++)
+			(void)try_once(&crashes, sound % GATEWAY_COUNT, "POST",
+				       "/order/x");
+		crashes.body = BODY;
+	}
+	assert_int_equal(crashes.count, CRASHES_MAX);
+}
+
 static void test_crash_after_the_caller_left(void **state)
 {
 	struct crashes crashes = {
@@ -498,6 +537,7 @@
 		FIXTURE_TEST(test_crashing_request_without_body),
 		FIXTURE_TEST(test_crash_in_a_stream),
 		FIXTURE_TEST(test_crash_of_servers_that_fall_silent),
+		FIXTURE_TEST(test_crash_of_servers_that_stay_listed),
 		FIXTURE_TEST(test_crash_after_the_caller_left),
 		FIXTURE_TEST(test_crash_of_a_server_that_keeps_its_id),
 		FIXTURE_TEST(test_crashes_are_known_after_restarts),
