members_news: at most 256 marks wait to be told to other instances

Marks lie in the store too, so the oldest are dropped; what servers say of their limits is not dropped, since only instances have it, one entry for each server.

test_reports_do_not_pile_up_while_alone: before, 10,000 of 10,000 reports are kept and it fails; after, 256 and the limit. First tried: a bound on the whole queue, which would have dropped limits for a burst of marks.

--- a/serve/members_news.c
+++ b/serve/members_news.c
@@ -11,6 +11,7 @@
 	/* Each instance passes a report on so often; some datagrams get lost.
 	 */
 	NEWS_SENDS = 12,
+	MARKS_QUEUED_MAX = 256, /* the store has them too */
 	NEWS_AGE_MAX_MS = 3600000,
 };
 
@@ -32,11 +33,29 @@
 	return news;
 }
 
+/* Makes room for a mark. Limits stay: there is one for each server. */
+static void drop_old_marks(struct members *members)
+{
+	guint marks = 0;
+
+	for (GList *l = members->news->tail, *before; l != NULL; l = before) {
+		struct news *news = l->data;
+
+		before = l->prev;
+		if (news->kind != NEWS_SUSPECT || ++marks < MARKS_QUEUED_MAX)
+			continue;
+		g_queue_delete_link(members->news, l);
+		news_free(news);
+	}
+}
+
 void members_report_suspect(struct members *members,
 			    const struct suspect_mark *mark)
 {
-	struct news *news = add_news(members, NEWS_SUSPECT, mark->server);
+	struct news *news;
 
+	drop_old_marks(members);
+	news = add_news(members, NEWS_SUSPECT, mark->server);
 	news->mark = *mark;
 	news->mark.server = news->server;
 }
