test_crashing_request: servers that crash behind carried connections

The issue's trials name cuts and carried connections as worth a test each; the tests so far had neither. An instance without links to the servers sends a request that crashes them over connections of the other instance: three servers crash, the rest is refused, also after the links are back. The failing links of test_server_links move into test/gateway/links for that; its tests are the same.

--- a/test/unit/test_crashing_request.c
+++ b/test/unit/test_crashing_request.c
@@ -16,7 +16,9 @@
 #include <cmocka.h>
 
 #include "serve/clock.h"
+#include "serve/stats.h"
 #include "test/gateway/fixture.h"
+#include "test/gateway/links.h"
 
 #define BODY "crashes servers"
 #define SOUND_BODY "sound"
@@ -304,6 +306,43 @@
 	try_often(&crashes, TRIES, "POST", "/order/x");
 }
 
+/* Sends sound requests until instance 0 has its connections carried. */
+static void wait_until_carried(struct crashes *crashes)
+{
+	int64_t deadline_ms = clock_boot_ms() + CONTACT_MS;
+	int status = 0;
+
+	crashes->body = SOUND_BODY;
+	while (status != 200 && clock_boot_ms() < deadline_ms)
+		status = try_once(crashes, 0, "POST", "/order/x");
+	assert_int_equal(status, 200);
+	crashes->body = BODY;
+}
+
+/* The instance can't tell a server that crashed from one that lives but could
+ * not be reached. */
+static void test_crash_over_carried_connections(void **state)
+{
+	struct crashes crashes = {.body = BODY};
+	struct links *links = links_open();
+	uint64_t carried;
+
+	(void)state;
+	set_up_servers(&crashes, false);
+	links_cut(links, LINK_REFUSES);
+	wait_until_carried(&crashes);
+	carried = stats_get(STATS_SENT_BY_TUNNEL);
+	for (int i = 0; i < TRIES; i++)
+		(void)try_once(&crashes, 0, "POST", "/order/x");
+	assert_int_equal(crashes.count, CRASHES_MAX);
+	assert_in_range(stats_get(STATS_SENT_BY_TUNNEL) - carried, CRASHES_MAX,
+			TRIES);
+	links_restore(links);
+	run_until(&crashes, NULL, CONTACT_MS);
+	try_often(&crashes, TRIES, "POST", "/order/x");
+	links_close(links);
+}
+
 static void test_crashes_are_known_after_restarts(void **state)
 {
 	struct crashes crashes = {.body = BODY};
@@ -540,6 +579,7 @@
 		FIXTURE_TEST(test_crash_of_servers_that_stay_listed),
 		FIXTURE_TEST(test_crash_after_the_caller_left),
 		FIXTURE_TEST(test_crash_of_a_server_that_keeps_its_id),
+		FIXTURE_TEST(test_crash_over_carried_connections),
 		FIXTURE_TEST(test_crashes_are_known_after_restarts),
 		FIXTURE_TEST(test_crashes_are_known_after_a_kill_of_all),
 		FIXTURE_TEST(test_crashes_are_known_to_a_late_instance),
--- a/test/unit/test_server_links.c
+++ b/test/unit/test_server_links.c
@@ -7,141 +7,48 @@
  * the callers of an instance without links are served at least two thirds as
  * often as those of the others, from some seconds after the links were lost.
  */
-#include <arpa/inet.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <cmocka.h>
 #include <sodium.h>
 
 #include "serve/clock.h"
 #include "test/gateway/fixture.h"
-#include "test/soak/proxy.h"
+#include "test/gateway/links.h"
 
 #define LOG_PATH "build/test_server_links.log"
-#define DIRECT_PREFIX "127.0.0.1:1840"
-#define LINK_PREFIX "127.0.0.2:1840"
 
 enum {
-	LINK_COUNT = 4,
-	FIRST_PORT = 18401,
 	LEARN_MS = 3000, /* until callers must be served again */
 	CALL_GAP_MS = 100,
 	CALLS = 30, /* counted, of each kind */
-	TARPIT_CONNS = 4,
 };
 
-static const char *const server_ids[LINK_COUNT] = {"e1", "e2", "s1", "s2"};
-
-/* How the links of instance 0 fail. */
-enum link_fault {
-	LINK_REFUSES, /* new connections are refused, and kept ones closed */
-	LINK_HANGS,   /* new connections are never established */
-};
-
-struct links {
-	struct proxy *proxies[LINK_COUNT];
-	int tarpits[LINK_COUNT];
-	int tarpit_conns[LINK_COUNT][TARPIT_CONNS];
-};
-
-static char *server_address(const char *prefix, int i)
+/* Lists the servers, which instance 0 reaches over its links. */
+static struct links *open_links(void)
 {
-	return g_strdup_printf("%s%d", prefix, FIRST_PORT % 10 + i);
-}
+	static const struct {
+		const char *id;
+		const char *service;
+		const char *address;
+	} servers[] = {
+		{"e1", "engines", ENGINE_1_ADDRESS},
+		{"e2", "engines", ENGINE_2_ADDRESS},
+		{"s1", "shop", SERVICE_1_ADDRESS},
+		{"s2", "shop", SERVICE_2_ADDRESS},
+	};
+	struct links *links = links_open();
 
-static struct links *links_open(void)
-{
-	struct links *links = g_new0(struct links, 1);
-
-	rowstore_set_alternate_host(fx.store, DIRECT_PREFIX, LINK_PREFIX);
-	for (int i = 0; i < LINK_COUNT; i++) {
-		char *address = server_address(LINK_PREFIX, i);
-		char *target = server_address(DIRECT_PREFIX, i);
-
-		links->proxies[i] = proxy_create(fx.base, address, target);
-		assert_non_null(links->proxies[i]);
-		links->tarpits[i] = -1;
-		fixture_put_server(server_ids[i], i < 2 ? "engines" : "shop",
-				   target, "ready");
-		g_free(address);
-		g_free(target);
-	}
+	for (size_t i = 0; i < G_N_ELEMENTS(servers); i++)
+		fixture_put_server(servers[i].id, servers[i].service,
+				   servers[i].address, "ready");
 	fixture_run_until(NULL, 300);
 	return links;
 }
 
-/* Listens on the address of a link, with a queue that is full. */
-static void open_tarpit(struct links *links, int i)
-{
-	struct sockaddr_in addr = {.sin_family = AF_INET,
-				   .sin_port =
-					   htons((uint16_t)(FIRST_PORT + i))};
-	int one = 1;
-
-	inet_pton(AF_INET, "127.0.0.2", &addr.sin_addr);
-	links->tarpits[i] = socket(AF_INET, SOCK_STREAM, 0);
-	setsockopt(links->tarpits[i], SOL_SOCKET, SO_REUSEADDR, &one,
-		   sizeof(one));
-	assert_int_equal(
-		bind(links->tarpits[i], (struct sockaddr *)&addr, sizeof(addr)),
-		0);
-	assert_int_equal(listen(links->tarpits[i], 0), 0);
-	for (int n = 0; n < TARPIT_CONNS; n++) {
-		links->tarpit_conns[i][n] =
-			socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-		(void)connect(links->tarpit_conns[i][n],
-			      (struct sockaddr *)&addr, sizeof(addr));
-	}
-}
-
-static void close_tarpit(struct links *links, int i)
-{
-	if (links->tarpits[i] < 0)
-		return;
-	close(links->tarpits[i]);
-	for (int n = 0; n < TARPIT_CONNS; n++)
-		close(links->tarpit_conns[i][n]);
-	links->tarpits[i] = -1;
-}
-
-static void links_cut(struct links *links, enum link_fault fault)
-{
-	for (int i = 0; i < LINK_COUNT; i++) {
-		proxy_destroy(links->proxies[i]);
-		links->proxies[i] = NULL;
-		if (fault == LINK_HANGS)
-			open_tarpit(links, i);
-	}
-}
-
-static void links_restore(struct links *links)
-{
-	for (int i = 0; i < LINK_COUNT; i++) {
-		char *address = server_address(LINK_PREFIX, i);
-		char *target = server_address(DIRECT_PREFIX, i);
-
-		close_tarpit(links, i);
-		links->proxies[i] = proxy_create(fx.base, address, target);
-		assert_non_null(links->proxies[i]);
-		g_free(address);
-		g_free(target);
-	}
-}
-
-static void links_close(struct links *links)
-{
-	for (int i = 0; i < LINK_COUNT; i++) {
-		proxy_destroy(links->proxies[i]);
-		close_tarpit(links, i);
-	}
-	g_free(links);
-}
-
 /* Sends a request to instance 0; returns whether it was served. */
 static bool call(const char *path, const char *id)
 {
@@ -187,7 +94,7 @@
 
 static void check_link_fault(enum link_fault fault)
 {
-	struct links *links = links_open();
+	struct links *links = open_links();
 
 	assert_int_equal(count_served("/get/1", "a"), CALLS);
 	links_cut(links, fault);
