goaway: servers that announce their shutdown in a response get nothing more

Until now the header was not read, and was passed on to callers.

Another value, two fields, a response to another request: counted, without effect.

--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "fleet_int.h"
+#include "goaway.h"
 #include "versions.h"
 
 enum {
@@ -23,6 +24,8 @@
 	GHashTable *servers;	     /* id -> struct fleet_server */
 	GHashTable *services;	     /* name -> struct fleet_service */
 	GHashTable *evacuated_zones; /* set of names */
+	struct goaway *going_away_ids;
+	struct goaway *going_away_addresses;
 };
 
 struct fleet_service {
@@ -49,6 +52,8 @@
 						service_free);
 	fleet->evacuated_zones =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	fleet->going_away_ids = goaway_create();
+	fleet->going_away_addresses = goaway_create();
 	return fleet;
 }
 
@@ -164,9 +169,20 @@
 	g_hash_table_destroy(fleet->servers);
 	g_hash_table_destroy(fleet->services);
 	g_hash_table_destroy(fleet->evacuated_zones);
+	goaway_destroy(fleet->going_away_ids);
+	goaway_destroy(fleet->going_away_addresses);
 	g_free(fleet);
 }
 
+static bool has_announced(const struct fleet *fleet,
+			  const struct fleet_server *server)
+{
+	return goaway_has(fleet->going_away_ids, server->id,
+			  server->started_ms) ||
+	       goaway_has(fleet->going_away_addresses, server->address,
+			  server->started_ms);
+}
+
 static struct fleet_server *create_server(struct fleet *fleet,
 					  const struct fleet_entry *entry)
 {
@@ -183,6 +199,7 @@
 	server->listed = true;
 	server->evacuated =
 		g_hash_table_contains(fleet->evacuated_zones, entry->zone);
+	server->going_away = has_announced(fleet, server);
 	server->send_times = g_queue_new();
 	server->idle = g_queue_new();
 	g_hash_table_insert(fleet->servers, server->id, server);
@@ -265,7 +282,8 @@
 
 bool fleet_is_in_service(const struct fleet_server *server)
 {
-	return server->listed && !server->draining && !server->evacuated;
+	return server->listed && !server->draining && !server->going_away &&
+	       !server->evacuated;
 }
 
 guint fleet_count(const struct fleet *fleet)
@@ -366,6 +384,32 @@
 			EWMA_WEIGHT * (gap_ms - server->event_gap_ms);
 }
 
+bool fleet_on_going_away(struct fleet *fleet, const struct fleet_server *server,
+			 bool is_other, int64_t time_ms)
+{
+	bool is_news = false;
+	GHashTableIter it;
+	gpointer p;
+
+	if (is_other)
+		goaway_note(fleet->going_away_addresses, server->address,
+			    time_ms);
+	else
+		goaway_note(fleet->going_away_ids, server->id,
+			    MAX(time_ms, server->started_ms));
+	g_hash_table_iter_init(&it, fleet->servers);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct fleet_server *listed = p;
+
+		if (listed->going_away || !has_announced(fleet, listed))
+			continue;
+		listed->going_away = true;
+		fleet->close_idle(listed);
+		is_news = true;
+	}
+	return is_news;
+}
+
 void fleet_on_replaced(struct fleet_server *server, int64_t now)
 {
 	server->replaced = true;
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -41,8 +41,9 @@
 	char *version; /**< of its software; "": unknown */
 	uint32_t slots;
 	bool draining;
-	bool listed;	/**< on the platform's list */
-	bool evacuated; /**< its availability zone is out of service */
+	bool listed;	 /**< on the platform's list */
+	bool evacuated;	 /**< its availability zone is out of service */
+	bool going_away; /**< it has announced its shutdown in a response */
 	int64_t started_ms;
 	int64_t cold_until_ms;
 	uint32_t running;	   /**< requests of this instance in progress */
@@ -161,6 +162,16 @@
 void fleet_on_response(struct fleet_server *server, bool fault, int64_t now);
 /** Updates the smoothed time between events from a stream of the server. */
 void fleet_update_event_gap(struct fleet_server *server, double gap_ms);
+/**
+ * Records that a response announced the shutdown of the server that sent it.
+ *
+ * @param server  to which the request was sent
+ * @param is_other the response came from another server at its address
+ * @param time_ms time of day, as in fleet_server.started_ms
+ * @return whether a listed server was not known to go away
+ */
+bool fleet_on_going_away(struct fleet *fleet, const struct fleet_server *server,
+			 bool is_other, int64_t time_ms);
 /** Avoids the server for a while: another id answers at its address, so that
  * this start has ended. */
 void fleet_on_replaced(struct fleet_server *server, int64_t now);
--- a/serve/call.h
+++ b/serve/call.h
@@ -37,6 +37,13 @@
 	RESPONSE_LIMIT_UNREADABLE, /**< says nothing about the limit */
 };
 
+/** Whether a response announces the shutdown of its server. */
+enum response_goaway {
+	RESPONSE_NO_GOAWAY,
+	RESPONSE_GOAWAY,
+	RESPONSE_GOAWAY_UNREADABLE, /**< announces nothing */
+};
+
 /** Contents of a backend server's response, without status and body. */
 struct response {
 	bool not_executed; /**< the server did not execute the request */
@@ -47,7 +54,8 @@
 	uint32_t waiting;
 	enum response_limit limit;
 	double limit_per_s; /**< requests a second, of all instances */
-	bool is_signed;	    /**< carries the server's signature of the body */
+	enum response_goaway goaway;
+	bool is_signed; /**< carries the server's signature of the body */
 	bool event_stream;
 };
 
--- a/serve/clock.h
+++ b/serve/clock.h
@@ -19,6 +19,16 @@
 	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
 
+/** Returns the time of day in milliseconds since 1970; it may step. */
+static inline int64_t clock_time_ms(void)
+{
+	struct timespec ts;
+
+	if (clock_gettime(CLOCK_REALTIME, &ts) != 0)
+		return 0;
+	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
 /** Converts @p ms to a timeval for libevent timers. */
 static inline struct timeval clock_timeval(int64_t ms)
 {
--- a/serve/crashes.c
+++ b/serve/crashes.c
@@ -56,7 +56,7 @@
 	if (listed && server->replaced)
 		return SUSPECT_SERVER_GONE;
 	/* A server that announces its end has not crashed. */
-	if (listed && (server->draining ||
+	if (listed && (server->draining || server->going_away ||
 		       server->heard_ms > mark->ended_ms + ALIVE_MARGIN_MS))
 		return SUSPECT_SERVER_ALIVE;
 	if (watcher_servers_age_ms(crashes->watcher) > LIST_AGE_MAX_MS)
@@ -177,7 +177,7 @@
 		.evidence = attempt->evidence,
 	};
 
-	if (attempt->server->draining ||
+	if (attempt->server->draining || attempt->server->going_away ||
 	    !suspect_add(crashes->suspects, &mark, now_ms))
 		return;
 	log_mark(attempt->id, &mark, "own", attempt->cause);
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -229,6 +229,26 @@
 		lchk_on_connected(x->shared->link_check, x->server->id);
 }
 
+/* Acts on an announcement of the server's shutdown. */
+static void note_going_away(const struct exch *x, int status)
+{
+	const struct fleet_server *server = x->server;
+
+	if (x->response.goaway == RESPONSE_GOAWAY_UNREADABLE)
+		stats_count(STATS_GOAWAY_UNREADABLE);
+	if (x->response.goaway != RESPONSE_GOAWAY ||
+	    !fleet_on_going_away(x->shared->fleet, server,
+				 x->response.misdirected, clock_time_ms()))
+		return;
+	stats_count(STATS_GOING_AWAY);
+	slog("going_away", x->call.id,
+	     "\"server\":%s,\"peer\":%s,\"started_ms\":%" G_GINT64_FORMAT
+	     ",\"status\":%d,\"draining\":%s,\"list_age_ms\":%" G_GINT64_FORMAT,
+	     slog_quote(server->id), slog_quote(server->address),
+	     server->started_ms, status, server->draining ? "true" : "false",
+	     watcher_servers_age_ms(x->shared->watcher));
+}
+
 static void on_head(void *arg, const struct upstream_head *head)
 {
 	struct exch *x = arg;
@@ -240,6 +260,7 @@
 		fleet_on_load_report(x->server, x->response.running,
 				     x->response.waiting, clock_boot_ms());
 	exch_note_server_limit(x);
+	note_going_away(x, head->status);
 	if (x->response.not_executed || x->response.misdirected ||
 	    x->response.encoded ||
 	    (head->status < 300 && !x->response.is_signed))
--- a/serve/tunnel.c
+++ b/serve/tunnel.c
@@ -280,7 +280,7 @@
 	tunnel->server_id = g_strdup(message->server);
 	rows__tunnel_open__free_unpacked(message, NULL);
 	server = fleet_find(tunnel->tunnels->fleet, tunnel->server_id);
-	if (server != NULL)
+	if (server != NULL && !server->going_away)
 		connect_server(tunnel, server->address);
 	else
 		refuse(tunnel);
--- a/serve/upstream.c
+++ b/serve/upstream.c
@@ -11,6 +11,7 @@
 #include "clock.h"
 #include "hdr.h"
 #include "input.h"
+#include "stats.h"
 #include "tunnel.h"
 #include "upstream.h"
 
@@ -175,8 +176,10 @@
 	if (call->id_name != NULL) {
 		id = hdr_get(conn->headers, call->id_name);
 		call->skipping = id == NULL || strcmp(id, call->id) != 0;
-		if (call->skipping)
+		if (call->skipping) {
+			stats_count(STATS_STRAY_RESPONSES);
 			return 0;
+		}
 	}
 	conn->keep_alive_ms = parse_keep_alive_ms(conn->headers);
 	head.framed = parser->flags & F_CHUNKED ||
--- a/serve/watcher.c
+++ b/serve/watcher.c
@@ -224,7 +224,8 @@
 		slog("server", NULL,
 		     "\"server\":%s,\"state\":\"%s\",\"peer\":%s,"
 		     "\"version\":%s,\"cold_ms\":%" G_GINT64_FORMAT,
-		     slog_quote(row->key), entry.draining ? "leaving" : "ready",
+		     slog_quote(row->key),
+		     entry.draining ? "draining" : "ready",
 		     slog_quote(entry.address),
 		     slog_quote(entry.version ? entry.version : ""),
 		     entry.cold_ms);
--- a/test/soak/gateways.c
+++ b/test/soak/gateways.c
@@ -18,6 +18,7 @@
 
 struct gateway {
 	pid_t pid;
+	guint epoch;
 	bool stopped;	      /* by SIGSTOP */
 	int64_t resume_at_ms; /* when SIGCONT or a restart is due; 0: none */
 	char *settings_path;
@@ -43,6 +44,7 @@
 	char *const argv[] = {(char *)gateways->binary, "gateway", "-c",
 			      gw->settings_path, NULL};
 
+	gw->epoch++;
 	gw->log_size = file_size(gw->log_path);
 	gw->pid = fork();
 	if (gw->pid == 0) {
@@ -112,6 +114,7 @@
 	if (gw->resume_at_ms != 0)
 		return;
 	gw->resume_at_ms = resume_at_ms;
+	gw->epoch++;
 	switch (rng_below(rng, 4)) {
 	case 0:
 		kill(gw->pid, SIGSTOP);
@@ -136,6 +139,7 @@
 		struct gateway *gw = &gateways->list[i];
 
 		kill(gw->pid, SIGKILL);
+		gw->epoch++;
 		gw->stopped = false;
 		gw->resume_at_ms = clock_boot_ms() + RECOVERY_MIN_MS;
 	}
@@ -153,6 +157,7 @@
 			continue;
 		if (gw->stopped) {
 			kill(gw->pid, SIGCONT);
+			gw->epoch++;
 		} else if (waitpid(gw->pid, NULL, WNOHANG) == 0) {
 			continue; /* still shutting down */
 		} else {
@@ -190,6 +195,11 @@
 	}
 }
 
+guint gateways_epoch(const struct gateways *gateways, int gateway)
+{
+	return gateways->list[gateway].epoch;
+}
+
 guint gateways_early_ends(const struct gateways *gateways)
 {
 	return gateways->early_ends;
--- a/test/soak/gateways.h
+++ b/test/soak/gateways.h
@@ -36,6 +36,9 @@
 void gateways_recover(struct gateways *gateways, bool immediately);
 /** Reports and restarts gateways that exited without our signal. */
 void gateways_check(struct gateways *gateways);
+/** Returns a number that changes whenever a gateway is stopped, continued,
+ * ended or started. */
+guint gateways_epoch(const struct gateways *gateways, int gateway);
 /** How many were ended by a SIGHUP that came before main(), which KNOWN-RED.txt
  * lists. */
 guint gateways_early_ends(const struct gateways *gateways);
--- a/test/soak/servers.c
+++ b/test/soak/servers.c
@@ -14,12 +14,16 @@
 	LISTED_ENGINES_MAX = 6,
 	DRAIN_MIN_MS = 200, /* a draining engine stays listed at least so long
 			     */
-	TURN_GAP_MS = 5,    /* between events */
-	STREAM_GAP_MS = 15, /* slow, so that faults hit streams */
+	GOING_AWAY_MS =
+		5000, /* a server that has announced its shutdown runs */
+	GOING_AWAY_STEPS = 6, /* on average, between two of them */
+	TURN_GAP_MS = 5,      /* between events */
+	STREAM_GAP_MS = 15,   /* slow, so that faults hit streams */
 };
 
 enum server_state {
 	SERVER_READY,
+	SERVER_GOING_AWAY, /* says so in its responses; listed as ready */
 	SERVER_DRAINING,
 	SERVER_GONE,
 };
@@ -31,6 +35,7 @@
 	guint version;
 	enum server_state state;
 	int64_t draining_since_ms;
+	int64_t going_away_since_ms;
 	struct backend *backend;
 	struct proxy *proxy;
 };
@@ -39,6 +44,7 @@
 	struct event_base *base;
 	struct rowstore *store;
 	struct rng *rng;
+	struct rng goaway_rng; /* of servers that go away unlisted */
 	int port;
 	struct server list[SERVER_MAX]; /* the first is the service */
 	guint count;
@@ -53,7 +59,7 @@
 		"\"state\":\"%s\",\"cold_left_ms\":0,\"born\":1}",
 		server->engine ? "engines" : "shop",
 		(guint)servers->port + PROXY_PORT + i, server->version,
-		server->state == SERVER_READY ? "ready" : "draining");
+		server->state == SERVER_DRAINING ? "draining" : "ready");
 
 	rowstore_put(servers->store, "servers", "", server->id, text);
 	g_free(text);
@@ -98,6 +104,7 @@
 	servers->store = store;
 	servers->port = port;
 	servers->rng = rng;
+	servers->goaway_rng.state = rng_mix(rng->state);
 	if (!add_server(servers, false, 1))
 		return NULL;
 	for (guint i = 1; i <= FIRST_ENGINES; i++)
@@ -146,6 +153,7 @@
 static void add_engine(struct servers *servers)
 {
 	guint listed = count_engines(servers, SERVER_READY, 0) +
+		       count_engines(servers, SERVER_GOING_AWAY, 0) +
 		       count_engines(servers, SERVER_DRAINING, 0);
 
 	if (servers->count < SERVER_MAX && listed < LISTED_ENGINES_MAX)
@@ -206,6 +214,34 @@
 	}
 }
 
+/* At least one engine stays that does not. */
+static void announce_shutdown(struct servers *servers)
+{
+	struct server *server;
+
+	if (count_engines(servers, SERVER_READY, 0) < 2)
+		return;
+	server = &servers->list[choose_engine(servers, SERVER_READY)];
+	server->state = SERVER_GOING_AWAY;
+	server->going_away_since_ms = clock_boot_ms();
+	backend_set_fields(server->backend, "Server-Leaving: 1\r\n");
+}
+
+static void unlist_gone(struct servers *servers)
+{
+	for (guint i = 0; i < servers->count; i++) {
+		struct server *server = &servers->list[i];
+
+		if (server->state != SERVER_GOING_AWAY ||
+		    clock_boot_ms() - server->going_away_since_ms <
+			    GOING_AWAY_MS)
+			continue;
+		server->state = SERVER_GONE;
+		rowstore_put(servers->store, "servers", "", server->id, NULL);
+		proxy_set_mode(server->proxy, PROXY_RESET);
+	}
+}
+
 /* Half of the engines that leave end their streams. */
 static void remove_engine(struct servers *servers, guint i)
 {
@@ -238,6 +274,9 @@
 
 void servers_change(struct servers *servers)
 {
+	unlist_gone(servers);
+	if (rng_below(&servers->goaway_rng, GOING_AWAY_STEPS) == 0)
+		announce_shutdown(servers);
 	switch (rng_below(servers->rng, 12)) {
 	case 0:
 	case 1:
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -12,6 +12,7 @@
  *  - no program exceeded its budget by more than one turn
  *  - no server saw an API key
  *  - a request that crashed three servers is still known when all is calm
+ *  - a server that announces its shutdown gets no request any more, soon after
  *  - a resumed stream is of one software version, and of every event once
  *  - turns are served again after the faults
  *
@@ -30,6 +31,7 @@
 #include "crashes.h"
 #include "decide/rng.h"
 #include "gateways.h"
+#include "goaway.h"
 #include "proxy.h"
 #include "serve/clock.h"
 #include "serve/hdr.h"
@@ -137,6 +139,26 @@
 	failures++;
 }
 
+void soak_on_sent(struct soak_request *request, int gateway)
+{
+	request->gateway = gateway;
+	request->sent_epoch = gateways_epoch(state.gateways, gateway);
+	request->sent_ms = clock_boot_ms();
+}
+
+void soak_on_head(struct soak_request *request,
+		  const struct upstream_head *head)
+{
+	const char *signature = hdr_get(head->headers, "Response-Signature");
+
+	if (signature == NULL || !g_str_has_prefix(signature, "sig-"))
+		return;
+	request->server = g_strdup(signature + strlen("sig-"));
+	request->answered_epoch =
+		gateways_epoch(state.gateways, request->gateway);
+	request->answered_ms = clock_boot_ms();
+}
+
 static void send_request(struct caller *caller);
 
 static void put_config(void)
@@ -221,6 +243,7 @@
 	struct caller *caller = arg;
 
 	caller->status = head->status;
+	soak_on_head(caller->request, head);
 }
 
 static void on_body(void *arg, const char *data, size_t len)
@@ -310,6 +333,7 @@
 	caller->request = sent;
 	caller->status = 0;
 	g_string_truncate(caller->body, 0);
+	soak_on_sent(sent, caller->gateway);
 	set_timer(caller, CALL_TIMEOUT_MS + 200);
 	caller->call =
 		upstream_send(state.upstream, &request, &handler, caller);
@@ -410,7 +434,7 @@
 	}
 }
 
-static void check_all(void)
+static void check_all(struct goaway_result *goaway)
 {
 	GHashTable *runs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -419,6 +443,7 @@
 	servers_collect_runs(state.servers, runs);
 	for (guint i = 0; i < state.requests->len; i++)
 		check_runs(g_ptr_array_index(state.requests, i), runs);
+	goaway_check(state.requests, runs, goaway);
 	g_hash_table_destroy(runs);
 }
 
@@ -527,6 +552,7 @@
 	char dir[] = "/tmp/aps-soak-XXXXXX";
 	uint64_t seed = argc > 2 ? strtoull(argv[2], NULL, 10) : 1;
 	int64_t ms = argc > 3 ? strtoll(argv[3], NULL, 10) : 5000;
+	struct goaway_result goaway;
 	guint early_ends;
 
 	if (argc < 2 || sodium_init() < 0 || mkdtemp(dir) == NULL) {
@@ -556,7 +582,7 @@
 	run_for(READY_TIMEOUT_MS / 2);
 	start_callers();
 	run_soak(ms);
-	check_all();
+	check_all(&goaway);
 	crashes_check(state.crashes);
 	early_ends = gateways_early_ends(state.gateways);
 	gateways_destroy(state.gateways);
@@ -566,6 +592,9 @@
 	       failures, dir);
 	streams_print(state.streams);
 	crashes_print(state.crashes);
+	printf("goaway: %u servers announced their shutdown through a gateway; "
+	       "%u requests were sent there later than allowed\n",
+	       goaway.announced, goaway.late);
 	if (early_ends > 0)
 		printf("soak_early_sighup: %u gateways were ended by a SIGHUP "
 		       "before main()\n",
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -9,6 +9,8 @@
 
 #include <glib.h>
 
+#include "serve/upstream.h"
+
 enum {
 	SOAK_GATEWAYS = 3,
 };
@@ -20,8 +22,19 @@
 	char *expected_body; /**< body that a server has to receive */
 	int status;	     /**< 0: no complete response */
 	bool resumable;	     /**< it may run more than once */
+	int gateway;	     /**< index, to which it was sent */
+	guint sent_epoch;    /**< of the gateway, see gateways_epoch() */
+	int64_t sent_ms;
+	char *server; /**< that the response came from, or NULL */
+	guint answered_epoch;
+	int64_t answered_ms; /**< when its head was received */
 };
 
+/** Records that the request is sent to @p gateway. */
+void soak_on_sent(struct soak_request *request, int gateway);
+/** Records the head of the response. */
+void soak_on_head(struct soak_request *request,
+		  const struct upstream_head *head);
 /** Reports that a check failed. */
 void soak_fail(const char *format, ...) G_GNUC_PRINTF(1, 2);
 
--- a/test/soak/streams.c
+++ b/test/soak/streams.c
@@ -210,6 +210,7 @@
 	struct stream_caller *caller = arg;
 
 	caller->status = head->status;
+	soak_on_head(caller->attempt, head);
 }
 
 static void on_body(void *arg, const char *data, size_t len)
@@ -281,6 +282,7 @@
 	request.head = request_head(caller);
 	request.body = g_bytes_new(caller->attempt->input,
 				   strlen(caller->attempt->input));
+	soak_on_sent(caller->attempt, caller->gateway);
 	set_timer(caller, caller->silence_ms);
 	caller->call = upstream_send(streams->config.upstream, &request,
 				     &handler, caller);
--- a/test/standins/backend.c
+++ b/test/standins/backend.c
@@ -24,7 +24,9 @@
 	int long_gap_ms;
 	enum backend_mode mode;
 	const char *limit_per_s; /* named in each response, or NULL */
-	bool crashes;		 /* at requests with the body crash_body */
+	const char *fields;	 /* added to each response, or NULL */
+	guint received;
+	bool crashes; /* at requests with the body crash_body */
 	const char *crash_body;
 	bool checks_target;
 	enum backend_crash crash;
@@ -78,6 +80,7 @@
 		g_string_append_printf(lines, "%s: %s\n", field->name->str,
 				       field->value ? field->value->str : "");
 	}
+	run->server = backend->id;
 	run->id = g_strdup(header_or_empty(request, "Request-Id"));
 	run->account = g_strdup(header_or_empty(request, "Tenant"));
 	run->headers = g_string_free(lines, FALSE);
@@ -89,6 +92,33 @@
 	return run;
 }
 
+/* Returns the run of a request, or NULL. */
+static struct backend_run *find_run(const struct backend *backend,
+				    const char *id)
+{
+	for (guint i = backend->runs->len; i > 0; i--) {
+		struct backend_run *run =
+			g_ptr_array_index(backend->runs, i - 1);
+
+		if (strcmp(run->id, id) == 0)
+			return run;
+	}
+	return NULL;
+}
+
+static void add_fields(const struct backend *backend,
+		       const struct inbound_request *request, GString *headers)
+{
+	struct backend_run *run;
+
+	if (backend->fields == NULL || backend->mode == BACKEND_WRONG_ID)
+		return;
+	g_string_append(headers, backend->fields);
+	run = find_run(backend, header_or_empty(request, "Request-Id"));
+	if (run != NULL)
+		run->had_fields = true;
+}
+
 static GString *response_headers(const struct backend *backend,
 				 const struct inbound_request *request)
 {
@@ -104,6 +134,7 @@
 	if (backend->limit_per_s != NULL)
 		g_string_append_printf(headers, "Server-Limit: %s\r\n",
 				       backend->limit_per_s);
+	add_fields(backend, request, headers);
 	return headers;
 }
 
@@ -245,6 +276,19 @@
 	g_free(bytes);
 }
 
+static void reply_to_other_request(const struct backend *backend,
+				   struct inbound_request *request)
+{
+	char *bytes =
+		g_strdup_printf("HTTP/1.1 200 OK\r\nRequest-Id: other\r\n%s"
+				"Response-Signature: sig\r\n"
+				"Content-Length: 5\r\n\r\nwrong",
+				backend->fields ? backend->fields : "");
+
+	inbound_write_raw(request, bytes);
+	g_free(bytes);
+}
+
 static void reply(struct backend *backend, struct inbound_request *request)
 {
 	GString *headers = response_headers(backend, request);
@@ -252,10 +296,7 @@
 	char *body = g_strdup_printf("answer of %s", backend->id);
 
 	if (backend->mode == BACKEND_WRONG_ID)
-		inbound_write_raw(request,
-				  "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
-				  "Response-Signature: sig\r\n"
-				  "Content-Length: 5\r\n\r\nwrong");
+		reply_to_other_request(backend, request);
 	if (backend->mode == BACKEND_TRAILING_BYTES)
 		reply_with_trailing_bytes(request, headers->str, body);
 	else
@@ -292,6 +333,7 @@
 	bool crashes;
 	bool misdirected;
 
+	backend->received++;
 	if (backend->has_crashed)
 		return;
 	misdirected = backend->mode == BACKEND_MISDIRECTED ||
@@ -401,6 +443,16 @@
 	return backend->has_crashed;
 }
 
+void backend_set_fields(struct backend *backend, const char *fields)
+{
+	backend->fields = fields;
+}
+
+guint backend_received(const struct backend *backend)
+{
+	return backend->received;
+}
+
 void backend_set_limit(struct backend *backend, const char *per_s)
 {
 	backend->limit_per_s = per_s;
--- a/test/standins/backend.h
+++ b/test/standins/backend.h
@@ -49,6 +49,8 @@
 	char *account; /**< Tenant; "" if missing */
 	char *headers; /**< every header, "name: value\n" each */
 	char *body;
+	const char *server; /**< id */
+	bool had_fields;    /**< its response had the fields that were added */
 	int64_t last_event_id; /**< Last-Event-Id; -1 if missing */
 	int64_t received_ms;   /**< CLOCK_BOOTTIME of its last byte */
 };
@@ -73,6 +75,12 @@
 			      guint n_events, int event_gap_ms);
 void backend_destroy(struct backend *backend);
 void backend_set_mode(struct backend *backend, enum backend_mode mode);
+/** Adds @p fields, whole header lines which must outlive the server, to each
+ * response from now on, or in mode BACKEND_WRONG_ID to those that belong to
+ * other requests; NULL: none. */
+void backend_set_fields(struct backend *backend, const char *fields);
+/** Returns the number of requests received, also of those that were refused. */
+guint backend_received(const struct backend *backend);
 /** Makes the server crash when it runs a request with @p body, which must
  * outlive it, or for NULL any request without a body. It then sends nothing any
  * more, and its connections stay open until it is destroyed. */
