tunnel: the carrying instance says whether the server's end was in order

Over a connection that another instance carries it always counted as interrupted, since the end of that instance looks like the end of the answer (shown below), so that its caller got 502, or a stream began again.

Both sides now say in the first messages, in new optional fields, that they understand frames; the server's bytes then come with two bytes of length each, and a frame of length 0 says that the server closed in order. An instance of an older version sends bare bytes, as before. Nothing more is kept in memory.

The soak's servers send such answers too. The soak's gateways have no links that only one of them loses, so carried answers are not in it.

--- a/proto/rows.pb-c.c
+++ b/proto/rows.pb-c.c
@@ -1786,7 +1786,7 @@
   (ProtobufCMessageInit) rows__lend__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rows__tunnel_open__field_descriptors[1] =
+static const ProtobufCFieldDescriptor rows__tunnel_open__field_descriptors[2] =
 {
   {
     "server",
@@ -1800,14 +1800,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "frames",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Rows__TunnelOpen, has_frames),
+    offsetof(Rows__TunnelOpen, frames),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rows__tunnel_open__field_indices_by_name[] = {
+  1,   /* field[1] = frames */
   0,   /* field[0] = server */
 };
 static const ProtobufCIntRange rows__tunnel_open__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor rows__tunnel_open__descriptor =
 {
@@ -1817,14 +1830,14 @@
   "Rows__TunnelOpen",
   "rows",
   sizeof(Rows__TunnelOpen),
-  1,
+  2,
   rows__tunnel_open__field_descriptors,
   rows__tunnel_open__field_indices_by_name,
   1,  rows__tunnel_open__number_ranges,
   (ProtobufCMessageInit) rows__tunnel_open__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rows__tunnel_reply__field_descriptors[1] =
+static const ProtobufCFieldDescriptor rows__tunnel_reply__field_descriptors[2] =
 {
   {
     "connected",
@@ -1838,14 +1851,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "frames",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Rows__TunnelReply, has_frames),
+    offsetof(Rows__TunnelReply, frames),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rows__tunnel_reply__field_indices_by_name[] = {
   0,   /* field[0] = connected */
+  1,   /* field[1] = frames */
 };
 static const ProtobufCIntRange rows__tunnel_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor rows__tunnel_reply__descriptor =
 {
@@ -1855,7 +1881,7 @@
   "Rows__TunnelReply",
   "rows",
   sizeof(Rows__TunnelReply),
-  1,
+  2,
   rows__tunnel_reply__field_descriptors,
   rows__tunnel_reply__field_indices_by_name,
   1,  rows__tunnel_reply__number_ranges,
--- a/proto/rows.pb-c.h
+++ b/proto/rows.pb-c.h
@@ -372,16 +372,24 @@
 
 /*
  * First message on a connection to an instance that carries it on to a backend
- * server; the response follows, and then the bytes of both sides.
+ * server; the response follows, and then the bytes of both sides. Those of the
+ * server come in frames if both instances understand them: two bytes of length
+ * in network order, and the bytes; length 0 says that the server has closed the
+ * connection in order.
  */
 struct  Rows__TunnelOpen
 {
   ProtobufCMessage base;
   char *server;
+  /*
+   * whether the instance understands frames
+   */
+  protobuf_c_boolean has_frames;
+  protobuf_c_boolean frames;
 };
 #define ROWS__TUNNEL_OPEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rows__tunnel_open__descriptor) \
-    , NULL }
+    , NULL, 0, 0 }
 
 
 /*
@@ -394,10 +402,15 @@
    * whether the server has been reached
    */
   protobuf_c_boolean connected;
+  /*
+   * whether the server's bytes come in frames
+   */
+  protobuf_c_boolean has_frames;
+  protobuf_c_boolean frames;
 };
 #define ROWS__TUNNEL_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rows__tunnel_reply__descriptor) \
-    , 0 }
+    , 0, 0, 0 }
 
 
 struct  Rows__Datagram
--- a/serve/inbound.c
+++ b/serve/inbound.c
@@ -596,6 +596,20 @@
 	bufferevent_write(request->conn->bev, bytes, strlen(bytes));
 }
 
+void inbound_end_raw(struct inbound_request *request)
+{
+	close_after_response(request->conn);
+}
+
+void inbound_reset(struct inbound_request *request)
+{
+	struct linger linger = {.l_onoff = 1};
+
+	(void)setsockopt(bufferevent_getfd(request->conn->bev), SOL_SOCKET,
+			 SO_LINGER, &linger, sizeof(linger));
+	inbound_abort(request);
+}
+
 void inbound_abort(struct inbound_request *request)
 {
 	struct inbound_conn *conn = request->conn;
--- a/serve/inbound.h
+++ b/serve/inbound.h
@@ -91,6 +91,11 @@
 /** Writes bytes without framing; for stand-ins that send malformed responses.
  */
 void inbound_write_raw(struct inbound_request *request, const char *bytes);
+/** Closes the connection in order once all is written, without any framing; for
+ * stand-ins. */
+void inbound_end_raw(struct inbound_request *request);
+/** Resets the connection; for stand-ins. */
+void inbound_reset(struct inbound_request *request);
 /** Closes the connection, so that the caller sees a truncated response. */
 void inbound_abort(struct inbound_request *request);
 
--- a/serve/tunnel.c
+++ b/serve/tunnel.c
@@ -39,6 +39,7 @@
 	struct event *timer;	      /* until the server is connected */
 	char *server_id;
 	bool connected;
+	bool frames; /* of what the server sends */
 	bool ending; /* one side has ended; the other gets what is left */
 };
 
@@ -78,6 +79,8 @@
 	Rows__TunnelOpen message = ROWS__TUNNEL_OPEN__INIT;
 
 	message.server = (char *)server;
+	message.has_frames = true;
+	message.frames = true;
 	write_message(out, &message.base);
 }
 
@@ -93,13 +96,41 @@
 		return invalid ? TUNNEL_REPLY_INVALID : TUNNEL_REPLY_INCOMPLETE;
 	message = rows__tunnel_reply__unpack(NULL, len, packed);
 	if (message != NULL)
-		reply = message->connected ? TUNNEL_CONNECTED
-					   : TUNNEL_NOT_CONNECTED;
+		reply = !message->connected ? TUNNEL_NOT_CONNECTED
+			: message->frames   ? TUNNEL_CONNECTED_FRAMES
+					    : TUNNEL_CONNECTED;
 	rows__tunnel_reply__free_unpacked(message, NULL);
 	g_free(packed);
 	return reply;
 }
 
+int tunnel_read_frame(struct evbuffer *in)
+{
+	uint16_t len;
+
+	if (evbuffer_get_length(in) < sizeof(len))
+		return -1;
+	evbuffer_remove(in, &len, sizeof(len));
+	return ntohs(len);
+}
+
+/* Moves all of @p from to @p to, in frames; an empty one if @p ended. */
+static void write_frames(struct evbuffer *to, struct evbuffer *from, bool ended)
+{
+	uint16_t prefix = 0;
+	size_t len;
+
+	while ((len = evbuffer_get_length(from)) > 0) {
+		len = MIN(len, UINT16_MAX);
+		prefix = htons((uint16_t)len);
+		evbuffer_add(to, &prefix, sizeof(prefix));
+		evbuffer_remove_buffer(from, to, len);
+	}
+	prefix = 0;
+	if (ended)
+		evbuffer_add(to, &prefix, sizeof(prefix));
+}
+
 static void tunnel_free(struct tunnel *tunnel)
 {
 	g_hash_table_remove(tunnel->tunnels->all, tunnel);
@@ -132,7 +163,11 @@
 
 	if (to == NULL || !tunnel->connected)
 		return;
-	bufferevent_write_buffer(to, bufferevent_get_input(from));
+	if (tunnel->frames && from == tunnel->server)
+		write_frames(bufferevent_get_output(to),
+			     bufferevent_get_input(from), false);
+	else
+		bufferevent_write_buffer(to, bufferevent_get_input(from));
 	if (evbuffer_get_length(bufferevent_get_output(to)) > BUFFER_MAX_BYTES)
 		bufferevent_disable(from, EV_READ);
 }
@@ -190,6 +225,8 @@
 	stats_count(STATS_TUNNELS);
 	tunnel->connected = true;
 	reply.connected = true;
+	reply.has_frames = true;
+	reply.frames = tunnel->frames;
 	write_message(bufferevent_get_output(tunnel->instance), &reply.base);
 	bufferevent_enable(tunnel->server, EV_READ | EV_WRITE);
 	bufferevent_enable(tunnel->instance, EV_READ | EV_WRITE);
@@ -213,6 +250,9 @@
 	if (what & BEV_EVENT_EOF && tunnel->connected && !tunnel->ending &&
 	    side == tunnel->server) {
 		on_bytes(side, tunnel);
+		if (tunnel->frames)
+			write_frames(bufferevent_get_output(to),
+				     bufferevent_get_input(side), true);
 		tunnel->ending = true;
 		set_timer(tunnel, END_TIMEOUT_MS);
 		if (evbuffer_get_length(bufferevent_get_output(to)) > 0)
@@ -278,6 +318,7 @@
 		return;
 	}
 	tunnel->server_id = g_strdup(message->server);
+	tunnel->frames = message->frames;
 	rows__tunnel_open__free_unpacked(message, NULL);
 	server = fleet_find(tunnel->tunnels->fleet, tunnel->server_id);
 	if (server != NULL && !server->going_away)
--- a/serve/tunnel.h
+++ b/serve/tunnel.h
@@ -6,6 +6,9 @@
  * that has not. The instance that carries a connection connects to a server of
  * its own list, tells whether that worked, and copies the bytes of both sides;
  * it neither parses nor repeats anything. If one side ends, so does the other.
+ * What the server sends comes in frames, whose last one says that the server
+ * has closed the connection in order: its end without that may be the end of
+ * the instance in between. An instance of an older version sends bare bytes.
  *
  * Messages: two bytes of length in network order, and a message of rows.proto.
  */
@@ -34,7 +37,8 @@
 enum tunnel_reply {
 	TUNNEL_REPLY_INCOMPLETE,
 	TUNNEL_CONNECTED,
-	TUNNEL_NOT_CONNECTED, /**< the server was not reached */
+	TUNNEL_CONNECTED_FRAMES, /**< the server's bytes come in frames */
+	TUNNEL_NOT_CONNECTED,	 /**< the server was not reached */
 	TUNNEL_REPLY_INVALID,
 };
 
@@ -42,5 +46,8 @@
 void tunnel_write_open(struct evbuffer *out, const char *server);
 /** Reads the response, and removes it from @p in. */
 enum tunnel_reply tunnel_read_reply(struct evbuffer *in);
+/** Reads the header of a frame, and removes it from @p in: returns its length,
+ * 0 for the orderly end of the connection, or -1 if it is incomplete. */
+int tunnel_read_frame(struct evbuffer *in);
 
 #endif
--- a/serve/upstream.c
+++ b/serve/upstream.c
@@ -41,6 +41,9 @@
 	struct upstream_call *call;
 	GArray *headers;
 	char *tunnel_server; /* id, if the connection is through a tunnel */
+	bool frames;	     /* the tunnel's bytes come in frames */
+	size_t frame_left;   /* bytes of the present one that are not parsed */
+	bool ended;	     /* the tunnel says that the server has closed */
 	bool connected;
 	bool parsing; /* the parser is on the stack */
 	bool dead;    /* to be freed once it is not */
@@ -242,11 +245,28 @@
 }
 
 static void on_tunnel_reply(struct conn *conn);
+static void on_eof(struct conn *conn);
+
+/* How many of the received bytes are the server's, up to the end of a frame. */
+static size_t count_readable(struct conn *conn, struct evbuffer *in)
+{
+	int len;
+
+	if (!conn->frames)
+		return evbuffer_get_length(in);
+	if (conn->frame_left == 0 && !conn->ended) {
+		len = tunnel_read_frame(in);
+		conn->ended = len == 0;
+		conn->frame_left = (size_t)MAX(len, 0);
+	}
+	return MIN(conn->frame_left, evbuffer_get_length(in));
+}
 
 static void on_read(struct bufferevent *bev, void *arg)
 {
 	struct conn *conn = arg;
 	struct evbuffer *in = bufferevent_get_input(bev);
+	size_t len;
 
 	if (conn->call == NULL) {
 		conn_free(conn);
@@ -256,13 +276,14 @@
 		on_tunnel_reply(conn);
 		return;
 	}
-	while (evbuffer_get_length(in) > 0) {
+	while ((len = count_readable(conn, in)) > 0) {
 		struct evbuffer_iovec chunk;
 		struct upstream_call *call;
 		size_t parsed;
 
 		evbuffer_peek(in, -1, NULL, &chunk, 1);
-		if (!parse(conn, chunk.iov_base, chunk.iov_len, &parsed))
+		if (!parse(conn, chunk.iov_base, MIN(chunk.iov_len, len),
+			   &parsed))
 			return;
 		call = conn->call;
 		if (call->complete) {
@@ -281,7 +302,11 @@
 			return;
 		}
 		evbuffer_drain(in, parsed);
+		if (conn->frames)
+			conn->frame_left -= parsed;
 	}
+	if (conn->ended)
+		on_eof(conn);
 }
 
 static void send_request(struct conn *conn)
@@ -313,6 +338,10 @@
 static void on_tunnel_reply(struct conn *conn)
 {
 	switch (tunnel_read_reply(bufferevent_get_input(conn->bev))) {
+	case TUNNEL_CONNECTED_FRAMES:
+		conn->frames = true;
+		on_connected(conn);
+		break;
 	case TUNNEL_CONNECTED:
 		on_connected(conn);
 		break;
@@ -361,10 +390,10 @@
 	if (conn->call->sent && !parse(conn, NULL, 0, &parsed))
 		return;
 	conn->call->reusable = false;
-	/* The end of a tunnel is not the end of a response without a length:
-	 * the instance that carries it may have been killed. */
+	/* The end of a tunnel is not the end of a response without a length,
+	 * unless that is said: the instance in between may have been killed. */
 	if (conn->call->complete &&
-	    (conn->call->framed || conn->tunnel_server == NULL))
+	    (conn->call->framed || conn->ended || conn->tunnel_server == NULL))
 		finish_call(conn, UPSTREAM_COMPLETE, "");
 	else
 		finish_call(conn, UPSTREAM_INTERRUPTED,
--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -1,6 +1,7 @@
 /** @file proxy.c @brief Fault-injecting TCP proxy. */
 #include <stdbool.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -28,12 +29,27 @@
 	struct bufferevent *ends[2]; /* client, target */
 	struct event *timer;
 	bool has_gap; /* has dropped bytes: forwards nothing more */
+	bool ended;   /* the target has closed in order, and all was read */
 };
 
+/* Closes by a reset: an orderly end would complete a response without a length.
+ */
+static void reset(struct bufferevent *end)
+{
+	struct linger linger = {.l_onoff = 1};
+
+	(void)setsockopt(bufferevent_getfd(end), SOL_SOCKET, SO_LINGER, &linger,
+			 sizeof(linger));
+}
+
 static void free_pair(gpointer p)
 {
 	struct pair *pair = p;
 
+	if (!pair->ended) {
+		reset(pair->ends[0]);
+		reset(pair->ends[1]);
+	}
 	bufferevent_free(pair->ends[0]);
 	bufferevent_free(pair->ends[1]);
 	event_free(pair->timer);
@@ -81,19 +97,29 @@
 		forward(pair);
 }
 
+/* The client has received all that was written to it. */
+static void on_written(struct bufferevent *end, void *arg)
+{
+	struct pair *pair = arg;
+
+	if (pair->ended && end == pair->ends[0])
+		g_ptr_array_remove_fast(pair->proxy->pairs, pair);
+}
+
 static void on_event(struct bufferevent *end, short what, void *arg)
 {
 	struct pair *pair = arg;
 
-	(void)end;
 	if (what & BEV_EVENT_CONNECTED)
 		return;
-	/* Bytes not yet written are lost: the other end sees a broken
-	 * connection. */
-	if (!pair->has_gap)
+	if (what & BEV_EVENT_EOF && end == pair->ends[1] && !pair->has_gap &&
+	    !pair->ended) {
+		pair->ended = true;
 		forward(pair);
-	for (int i = 0; i < 2; i++)
-		bufferevent_flush(pair->ends[i], EV_WRITE, BEV_FINISHED);
+		if (evbuffer_get_length(bufferevent_get_output(pair->ends[0])) >
+		    0)
+			return;
+	}
 	g_ptr_array_remove_fast(pair->proxy->pairs, pair);
 }
 
@@ -124,7 +150,8 @@
 		bufferevent_socket_new(proxy->base, -1, BEV_OPT_CLOSE_ON_FREE);
 	g_ptr_array_add(proxy->pairs, pair);
 	for (int i = 0; i < 2; i++) {
-		bufferevent_setcb(pair->ends[i], on_read, NULL, on_event, pair);
+		bufferevent_setcb(pair->ends[i], on_read, on_written, on_event,
+				  pair);
 		bufferevent_enable(pair->ends[i], EV_READ | EV_WRITE);
 	}
 	bufferevent_socket_connect(pair->ends[1],
--- a/test/standins/backend.c
+++ b/test/standins/backend.c
@@ -10,6 +10,8 @@
 	ENDLESS_GAP_MS = 1,
 	ENDLESS_LINES = 2000, /* of about 24 bytes each */
 	STALLED_GAP_MS = 50,
+	UNFRAMED_PARTS = 4, /* of a response that is no stream */
+	UNFRAMED_GAP_MS = 5,
 };
 
 struct backend {
@@ -43,6 +45,7 @@
 	int64_t next_id; /* ID of the next event; the first is 1 */
 	guint n_events;
 	int event_gap_ms;
+	enum backend_mode mode; /* when it was begun */
 	bool headers_sent;
 	bool stalled; /* a line has been begun */
 	bool crashes; /* the server, after the first event */
@@ -188,6 +191,68 @@
 	event_add(stream->timer, &tv);
 }
 
+/* Sends the next part of a response without a length, or its end. */
+static void on_unframed_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct stream *stream = arg;
+	struct inbound_request *request = stream->request;
+	struct timeval tv = {.tv_usec = stream->event_gap_ms * 1000};
+	enum backend_mode mode = stream->mode;
+	bool breaks = mode != BACKEND_UNFRAMED && stream->next_id == 2;
+	char part[64];
+
+	(void)fd;
+	(void)what;
+	if (breaks && mode == BACKEND_UNFRAMED_RESET) {
+		free_stream(stream);
+		inbound_reset(request);
+		return;
+	}
+	if (stream->next_id > stream->n_events) {
+		free_stream(stream);
+		inbound_end_raw(request);
+		return;
+	}
+	g_snprintf(part, sizeof(part), "id: %d\ndata: %s-%d%s",
+		   (int)stream->next_id, stream->backend->id,
+		   (int)stream->next_id, breaks ? "" : "\n\n");
+	inbound_write_raw(request, part);
+	stream->next_id = breaks ? stream->n_events + 1 : stream->next_id + 1;
+	event_add(stream->timer, &tv);
+}
+
+/* Begins a response with neither a length nor chunks. */
+static void start_unframed(struct backend *backend,
+			   struct inbound_request *request,
+			   int64_t last_event_id)
+{
+	bool is_stream = strstr(request->target, "/turn") != NULL;
+	bool is_long = backend->long_path != NULL &&
+		       g_str_has_prefix(request->target, backend->long_path);
+	struct stream *stream = g_new0(struct stream, 1);
+	GString *headers = response_headers(backend, request);
+	char *head = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\n%s%s\r\n", headers->str,
+		is_stream ? "Content-Type: text/event-stream\r\n" : "");
+	struct timeval tv = {0};
+
+	inbound_write_raw(request, head);
+	g_free(head);
+	g_string_free(headers, TRUE);
+	stream->backend = backend;
+	stream->request = request;
+	stream->mode = backend->mode;
+	stream->n_events = is_long     ? backend->n_long_events
+			   : is_stream ? backend->n_events
+				       : UNFRAMED_PARTS;
+	stream->event_gap_ms = is_long ? backend->long_gap_ms : UNFRAMED_GAP_MS;
+	stream->next_id = last_event_id < 0 ? 1 : last_event_id + 1;
+	stream->timer = evtimer_new(backend->base, on_unframed_timer, stream);
+	request->user_data = stream;
+	tv.tv_usec = stream->event_gap_ms * 1000;
+	event_add(stream->timer, &tv);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct stream *stream = arg;
@@ -365,6 +430,11 @@
 		start_endless(backend, request);
 		return;
 	}
+	if (backend->mode >= BACKEND_UNFRAMED &&
+	    backend->mode <= BACKEND_UNFRAMED_CUT) {
+		start_unframed(backend, request, run->last_event_id);
+		return;
+	}
 	if (strstr(request->target, "/turn") != NULL) {
 		start_stream(backend, request, run->last_event_id, crashes);
 		return;
--- a/test/standins/backend.h
+++ b/test/standins/backend.h
@@ -30,11 +30,14 @@
 	BACKEND_MALFORMED,	/**< sends bytes that are not HTTP */
 	BACKEND_ERROR,		/**< 500 */
 	/* Bytes without end, until the caller closes the connection. */
-	BACKEND_ENDLESS_HEAD,  /**< of header fields */
-	BACKEND_ENDLESS_BODY,  /**< of a response that is not signed */
-	BACKEND_ENDLESS_OTHER, /**< of a response to another request */
-	BACKEND_ENDLESS_EVENT, /**< of one event in a stream */
-	BACKEND_STALLED,       /**< a byte now and then, of the 2nd event */
+	BACKEND_ENDLESS_HEAD,	/**< of header fields */
+	BACKEND_ENDLESS_BODY,	/**< of a response that is not signed */
+	BACKEND_ENDLESS_OTHER,	/**< of a response to another request */
+	BACKEND_ENDLESS_EVENT,	/**< of one event in a stream */
+	BACKEND_UNFRAMED,	/**< no length, no chunks; ends in order */
+	BACKEND_UNFRAMED_RESET, /**< the same, but reset before its end */
+	BACKEND_UNFRAMED_CUT,	/**< the same, but ends inside the 2nd event */
+	BACKEND_STALLED,	/**< a byte now and then, of the 2nd event */
 };
 
 /** How a server ends that begins to run a request which crashes it. */
