turns: fields of a later build stay in budget rows

The budget row of a program is read, changed and written again by every instance that spends from it; it was rebuilt from the two numbers that this build knows of each cap. An instance of an earlier build would have removed a new field while both run, or after a release is withdrawn.

The row is now kept as it was read, and written with the cap of this incarnation replaced. Other rows are written whole by whoever makes them, never changed.

--- a/serve/turns.c
+++ b/serve/turns.c
@@ -8,7 +8,6 @@
 #include "decide/budget.h"
 #include "decide/history.h"
 #include "proto/message.h"
-#include "proto/rows.pb-c.h"
 #include "stats.h"
 #include "turns.h"
 #include "turns_int.h"
@@ -69,7 +68,7 @@
 	if (program->read_call != NULL)
 		store_cancel(program->read_call);
 	event_free(program->retry_timer);
-	g_array_free(program->other_caps, TRUE);
+	rows__program__free_unpacked(program->budget_row, NULL);
 	g_free(program);
 }
 
@@ -83,8 +82,6 @@
 	program->turns = turns;
 	g_strlcpy(program->key, key, KEY_LEN);
 	turns_program_part(key, program->part);
-	program->other_caps =
-		g_array_new(FALSE, FALSE, sizeof(struct token_cap));
 	program->retry_timer =
 		evtimer_new(turns->base, on_retry_timer, program);
 	CDS_INIT_LIST_HEAD(&program->active_turns);
@@ -152,7 +149,6 @@
 			    int64_t version, int64_t sent_ms)
 {
 	Rows__Program *row = NULL;
-	uint64_t own_cap = 0;
 
 	if (version < program->budget_version)
 		return;
@@ -162,22 +158,18 @@
 
 		row = rows__program__unpack(NULL, len, data);
 	}
-	g_array_set_size(program->other_caps, 0);
 	program->budget.others = 0;
+	program->budget.cap = 0;
 	for (size_t i = 0; row != NULL && i < row->n_caps; i++) {
-		struct token_cap cap = {row->caps[i]->incarnation,
-					row->caps[i]->tokens};
+		const Rows__Cap *cap = row->caps[i];
 
-		if (cap.incarnation == program->turns->incarnation) {
-			own_cap = cap.tokens;
-			continue;
-		}
-		program->budget.others += cap.tokens;
-		g_array_append_val(program->other_caps, cap);
+		if (cap->incarnation == program->turns->incarnation)
+			program->budget.cap = cap->tokens;
+		else
+			program->budget.others += cap->tokens;
 	}
-	if (row != NULL)
-		rows__program__free_unpacked(row, NULL);
-	program->budget.cap = own_cap;
+	rows__program__free_unpacked(program->budget_row, NULL);
+	program->budget_row = row;
 	program->budget.known = true;
 	program->budget_version = version;
 	program->budget_read_ms = sent_ms;
--- a/serve/turns_int.h
+++ b/serve/turns_int.h
@@ -12,6 +12,7 @@
 
 #include "decide/budget.h"
 #include "decide/history.h"
+#include "proto/rows.pb-c.h"
 #include "turns.h"
 
 /** Budget rows, and the rows of turns. */
@@ -40,12 +41,6 @@
 	RETENTION_MIN_MS = 600000,
 };
 
-/** Tokens that another incarnation may use. */
-struct token_cap {
-	uint64_t incarnation;
-	uint32_t tokens;
-};
-
 /** The rows of one program, as known to this instance. */
 struct program {
 	struct turns *turns;
@@ -54,7 +49,7 @@
 	struct budget budget;
 	int64_t budget_version; /* of the budget row; 0: no row */
 	int64_t budget_read_ms; /* when the row was last known to be current */
-	GArray *other_caps;	/* of struct token_cap */
+	Rows__Program *budget_row; /* as last read, or NULL */
 	struct cds_list_head active_turns;
 	struct store_call *write_call;
 	struct store_call *read_call;
@@ -160,6 +155,9 @@
 void turns_apply_budget_row(struct program *program, GBytes *value,
 			    int64_t version, int64_t sent_ms);
 
+/** Packs the budget row as it was read, with the cap to be written for this
+ * incarnation: fields of a later build stay. g_free() the result. */
+uint8_t *turns_pack_budget(const struct program *program, size_t *len);
 /** Builds the transaction with all pending rows of a program and its cap. */
 struct store_tx *turns_build_tx(struct program *program, uint64_t cap);
 
--- a/serve/turns_load.c
+++ b/serve/turns_load.c
@@ -2,7 +2,6 @@
 #include <string.h>
 
 #include "clock.h"
-#include "proto/rows.pb-c.h"
 #include "slog.h"
 #include "turns_int.h"
 
--- a/serve/turns_write.c
+++ b/serve/turns_write.c
@@ -3,7 +3,6 @@
 
 #include "decide/retention.h"
 #include "proto/message.h"
-#include "proto/rows.pb-c.h"
 #include "turns_int.h"
 
 enum {
@@ -83,38 +82,41 @@
 	(*rows_left)--;
 }
 
-static void put_budget(struct store_tx *tx, struct program *program)
+uint8_t *turns_pack_budget(const struct program *program, size_t *len)
 {
+	const Rows__Program *old = program->budget_row;
+	size_t n_old = old ? old->n_caps : 0;
 	Rows__Program row = ROWS__PROGRAM__INIT;
-	guint n = program->other_caps->len + 1;
-	Rows__Cap *caps = g_new(Rows__Cap, n);
-	Rows__Cap **list = g_new(Rows__Cap *, n);
+	Rows__Cap own = ROWS__CAP__INIT;
+	Rows__Cap **caps = g_new(Rows__Cap *, n_old + 1);
 	uint8_t *packed;
-	size_t len;
 
-	for (guint i = 0; i < n; i++) {
-		rows__cap__init(&caps[i]);
-		list[i] = &caps[i];
-		if (i == n - 1)
-			break;
-		caps[i].incarnation =
-			g_array_index(program->other_caps, struct token_cap, i)
-				.incarnation;
-		caps[i].tokens =
-			g_array_index(program->other_caps, struct token_cap, i)
-				.tokens;
+	if (old != NULL)
+		row.base = old->base;
+	for (size_t i = 0; i < n_old; i++) {
+		if (old->caps[i]->incarnation == program->turns->incarnation)
+			own = *old->caps[i];
+		else
+			caps[row.n_caps++] = old->caps[i];
 	}
-	caps[n - 1].incarnation = program->turns->incarnation;
-	caps[n - 1].tokens = (uint32_t)program->writing_cap;
-	row.n_caps = n;
-	row.caps = list;
-	packed = msg_pack(&row.base, &len);
+	own.incarnation = program->turns->incarnation;
+	own.tokens = (uint32_t)program->writing_cap;
+	caps[row.n_caps++] = &own;
+	row.caps = caps;
+	packed = msg_pack(&row.base, len);
+	g_free(caps);
+	return packed;
+}
+
+static void put_budget(struct store_tx *tx, struct program *program)
+{
+	size_t len;
+	uint8_t *packed = turns_pack_budget(program, &len);
+
 	store_tx_expect(tx, PROGRAMS_TABLE, program->key,
 			program->budget_version);
 	store_tx_put(tx, PROGRAMS_TABLE, program->key, packed, len);
 	g_free(packed);
-	g_free(list);
-	g_free(caps);
 }
 
 /* Extends the expiry of the program's rows where it is too near. */
