sock, suspect: what stood twice

The TCP options of connections and the reset on close stood in upstream.c and tunnel.c, the latter in inbound.c and the soak's proxy too: serve/sock. The hour of a mark stood in suspect.c and crash_rows.c: SUSPECT_MARK_MAX_MS. Settling a mark asked twice for its server. No change of behaviour.

--- a/decide/suspect.c
+++ b/decide/suspect.c
@@ -9,7 +9,6 @@
 	REFUSAL_SERVERS = 3, /* servers that ended under a request */
 	/* By then the entry of a server that ended is gone from the list. */
 	OPEN_MAX_MS = 15000,
-	MARK_MAX_MS = 3600000,
 	REQUESTS_MAX = 4096, /* with marks */
 	MARKS_MAX = 8,	     /* of a request; the oldest goes first */
 	DOUBT_SERVERS = 2, /* those of one may have ended for another reason */
@@ -186,15 +185,18 @@
 	return suspects->handler.server(suspects->handler.arg, mark);
 }
 
-/* A mark that has been forgotten may come again from other instances. */
-static bool is_disproved(const struct suspects *suspects,
-			 const struct suspect_mark *mark, int64_t now)
+static bool is_expired(const struct suspect_mark *mark, int64_t now)
 {
-	int64_t age_ms = now - mark->ended_ms;
-	enum suspect_server server = server_of(suspects, mark);
+	return now - mark->ended_ms > SUSPECT_MARK_MAX_MS;
+}
 
-	return age_ms > MARK_MAX_MS || server == SUSPECT_SERVER_ALIVE ||
-	       (server == SUSPECT_SERVER_LISTED && age_ms > OPEN_MAX_MS);
+/* Whether the server of a mark has not ended, as far as is known of it. */
+static bool is_disproved(const struct suspect_mark *mark,
+			 enum suspect_server server, int64_t now)
+{
+	return server == SUSPECT_SERVER_ALIVE ||
+	       (server == SUSPECT_SERVER_LISTED &&
+		now - mark->ended_ms > OPEN_MAX_MS);
 }
 
 static void report(const struct suspects *suspects, const struct mark *mark,
@@ -210,8 +212,10 @@
 	struct mark *known;
 	guint index;
 
+	/* A mark that has been forgotten may come again from others. */
 	if (suspect_has_completed(suspects, mark->fingerprint, now) ||
-	    is_disproved(suspects, mark, now))
+	    is_expired(mark, now) ||
+	    is_disproved(mark, server_of(suspects, mark), now))
 		return false;
 	if (request == NULL)
 		request = create_request(suspects, mark->fingerprint);
@@ -269,17 +273,20 @@
 static bool settle_mark(struct suspects *suspects, struct mark *mark,
 			int64_t now)
 {
-	if (now - mark->data.ended_ms > MARK_MAX_MS) {
+	enum suspect_server server;
+
+	if (is_expired(&mark->data, now)) {
 		report(suspects, mark, SUSPECT_EXPIRED);
 		return false;
 	}
 	if (mark->data.evidence == SUSPECT_CRASHED)
 		return true;
-	if (is_disproved(suspects, &mark->data, now)) {
+	server = server_of(suspects, &mark->data);
+	if (is_disproved(&mark->data, server, now)) {
 		report(suspects, mark, SUSPECT_DISPROVED);
 		return false;
 	}
-	if (server_of(suspects, &mark->data) == SUSPECT_SERVER_GONE) {
+	if (server == SUSPECT_SERVER_GONE) {
 		report(suspects, mark, SUSPECT_CONFIRMED);
 		mark->data.evidence = SUSPECT_CRASHED;
 	}
@@ -317,7 +324,7 @@
 static int64_t refusal_ms(const struct request *request, int64_t now)
 {
 	guint left = REFUSAL_SERVERS;
-	int64_t wait_ms = MARK_MAX_MS;
+	int64_t wait_ms = SUSPECT_MARK_MAX_MS;
 
 	for (guint i = request->marks->len; i > 0 && left > 0; i--) {
 		const struct mark *mark =
@@ -328,7 +335,7 @@
 			continue;
 		left--;
 		wait_ms = MIN(wait_ms, mark->data.evidence == SUSPECT_CRASHED
-					       ? MARK_MAX_MS - age_ms
+					       ? SUSPECT_MARK_MAX_MS - age_ms
 					       : MAX(OPEN_MAX_MS - age_ms, 1));
 	}
 	return wait_ms;
--- a/decide/suspect.h
+++ b/decide/suspect.h
@@ -28,6 +28,10 @@
 
 struct suspects;
 
+enum {
+	SUSPECT_MARK_MAX_MS = 3600000, /**< then a mark is forgotten */
+};
+
 /** How an attempt ended. */
 enum suspect_evidence {
 	SUSPECT_SILENT,	 /**< it was given up: counts once the server is gone */
--- a/serve/crash_rows.c
+++ b/serve/crash_rows.c
@@ -18,7 +18,6 @@
 	TX_ROWS_MAX = 50,
 	KEY_LEN = 64,
 	ROWS_MAX = 8192,
-	KEPT_MS = 3600000,
 };
 
 /* A row, as it is in the store or is to be. */
@@ -229,7 +228,8 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct row *row = value;
 
-		if (row->due_ms != 0 || now_ms - row->mark.ended_ms <= KEPT_MS)
+		if (row->due_ms != 0 ||
+		    now_ms - row->mark.ended_ms <= SUSPECT_MARK_MAX_MS)
 			continue;
 		if (!members_is_responsible(members, CRASHES_TABLE))
 			return;
--- a/serve/inbound.c
+++ b/serve/inbound.c
@@ -14,6 +14,7 @@
 #include "hdr.h"
 #include "inbound.h"
 #include "input.h"
+#include "sock.h"
 #include "stats.h"
 
 enum {
@@ -603,10 +604,7 @@
 
 void inbound_reset(struct inbound_request *request)
 {
-	struct linger linger = {.l_onoff = 1};
-
-	(void)setsockopt(bufferevent_getfd(request->conn->bev), SOL_SOCKET,
-			 SO_LINGER, &linger, sizeof(linger));
+	sock_reset_on_close(bufferevent_getfd(request->conn->bev));
 	inbound_abort(request);
 }
 
--- /dev/null
+++ b/serve/sock.c
@@ -0,0 +1,27 @@
+/** @file sock.c @brief Options of connected TCP sockets. */
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include "sock.h"
+
+enum {
+	USER_TIMEOUT_MS = 5000, /* limit for unacknowledged data */
+};
+
+/* Both options only speed things up, so errors are ignored. */
+void sock_set_options(evutil_socket_t fd)
+{
+	unsigned int ms = USER_TIMEOUT_MS;
+	int one = 1;
+
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
+void sock_reset_on_close(evutil_socket_t fd)
+{
+	struct linger linger = {.l_onoff = 1};
+
+	(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
--- a/serve/tunnel.c
+++ b/serve/tunnel.c
@@ -1,8 +1,6 @@
 /** @file tunnel.c @brief Carries connections to servers for other instances. */
 #include <arpa/inet.h>
-#include <netinet/tcp.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -11,6 +9,7 @@
 #include "proto/message.h"
 #include "proto/rows.pb-c.h"
 #include "slog.h"
+#include "sock.h"
 #include "stats.h"
 #include "tunnel.h"
 
@@ -19,7 +18,6 @@
 	OPEN_TIMEOUT_MS = 500,	  /* until the first message is complete */
 	CONNECT_TIMEOUT_MS = 250, /* as for connections of our own */
 	TUNNELS_MAX = 512,	  /* each needs two descriptors */
-	USER_TIMEOUT_MS = 5000,	  /* limit for unacknowledged data */
 	END_TIMEOUT_MS = 5000, /* to pass on what a side sent before its end */
 	/* A side that does not read stops the other one. */
 	BUFFER_MAX_BYTES = 131072,
@@ -184,25 +182,6 @@
 		bufferevent_enable(from, EV_READ);
 }
 
-/* Closes a connection by a reset: what it carried may be incomplete. */
-static void reset(struct bufferevent *side)
-{
-	struct linger linger = {.l_onoff = 1};
-
-	(void)setsockopt(bufferevent_getfd(side), SOL_SOCKET, SO_LINGER,
-			 &linger, sizeof(linger));
-}
-
-/* Both options only speed things up, so errors are ignored. */
-static void set_options(evutil_socket_t fd)
-{
-	unsigned int ms = USER_TIMEOUT_MS;
-	int one = 1;
-
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
-}
-
 /* Tells the instance that its server was not reached, and ends. */
 static void refuse(struct tunnel *tunnel)
 {
@@ -221,7 +200,7 @@
 	Rows__TunnelReply reply = ROWS__TUNNEL_REPLY__INIT;
 
 	event_del(tunnel->timer);
-	set_options(bufferevent_getfd(tunnel->server));
+	sock_set_options(bufferevent_getfd(tunnel->server));
 	stats_count(STATS_TUNNELS);
 	tunnel->connected = true;
 	reply.connected = true;
@@ -258,7 +237,7 @@
 		if (evbuffer_get_length(bufferevent_get_output(to)) > 0)
 			return;
 	} else if (to != NULL && what & BEV_EVENT_ERROR) {
-		reset(to);
+		sock_reset_on_close(bufferevent_getfd(to));
 	}
 	tunnel_free(tunnel);
 }
@@ -340,7 +319,7 @@
 		evutil_closesocket(fd);
 		return;
 	}
-	set_options(fd);
+	sock_set_options(fd);
 	tunnel = g_new0(struct tunnel, 1);
 	tunnel->tunnels = tunnels;
 	tunnel->timer = evtimer_new(tunnels->base, on_timeout, tunnel);
--- a/serve/upstream.c
+++ b/serve/upstream.c
@@ -1,8 +1,6 @@
 /** @file upstream.c @brief HTTP client on an event loop. */
 #include <arpa/inet.h>
-#include <netinet/tcp.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -11,6 +9,7 @@
 #include "clock.h"
 #include "hdr.h"
 #include "input.h"
+#include "sock.h"
 #include "stats.h"
 #include "tunnel.h"
 #include "upstream.h"
@@ -19,7 +18,6 @@
 	SKIP_MAX_BYTES = 65536,	    /* of responses to other requests */
 	KEEP_ALIVE_MS = 4000,	    /* if the peer announces no timeout */
 	KEEP_ALIVE_MARGIN_MS = 700, /* closes before the peer does */
-	USER_TIMEOUT_MS = 5000,	    /* limit for unacknowledged data */
 	/* A timeout is put off for this time and this often at least, to parse
 	 * what was received: it takes up to three turns of the event loop, of
 	 * any length. The two timers of a call are counted together. */
@@ -359,14 +357,8 @@
 /* The socket is connected, to the server or to the instance of the tunnel. */
 static void on_socket_connected(struct conn *conn)
 {
-	int one = 1;
-	unsigned int ms = USER_TIMEOUT_MS;
-	evutil_socket_t fd = bufferevent_getfd(conn->bev);
-
 	conn->upstream->opened++;
-	/* Both options only speed things up, so errors are ignored. */
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+	sock_set_options(bufferevent_getfd(conn->bev));
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 	if (conn->tunnel_server != NULL)
 		tunnel_write_open(bufferevent_get_output(conn->bev),
--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -1,7 +1,6 @@
 /** @file proxy.c @brief Fault-injecting TCP proxy. */
 #include <stdbool.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -10,6 +9,7 @@
 
 #include "proxy.h"
 #include "serve/clock.h"
+#include "serve/sock.h"
 
 enum {
 	DELAY_MS = 150,
@@ -32,23 +32,14 @@
 	bool ended;   /* the target has closed in order, and all was read */
 };
 
-/* Closes by a reset: an orderly end would complete a response without a length.
- */
-static void reset(struct bufferevent *end)
-{
-	struct linger linger = {.l_onoff = 1};
-
-	(void)setsockopt(bufferevent_getfd(end), SOL_SOCKET, SO_LINGER, &linger,
-			 sizeof(linger));
-}
-
 static void free_pair(gpointer p)
 {
 	struct pair *pair = p;
 
+	/* An orderly end would complete a response without a length. */
 	if (!pair->ended) {
-		reset(pair->ends[0]);
-		reset(pair->ends[1]);
+		sock_reset_on_close(bufferevent_getfd(pair->ends[0]));
+		sock_reset_on_close(bufferevent_getfd(pair->ends[1]));
 	}
 	bufferevent_free(pair->ends[0]);
 	bufferevent_free(pair->ends[1]);
