--- a/test/soak/servers.c
+++ b/test/soak/servers.c
@@ -83,6 +83,8 @@
 	server->state = SERVER_READY;
 	server->backend = backend_create(servers->base, address, server->id,
 					 SERVERS_TURN_EVENTS, TURN_GAP_MS);
+	if (server->backend == NULL)
+		return false;
 	backend_set_long_streams(server->backend, "/free/",
 				 SERVERS_STREAM_EVENTS, STREAM_GAP_MS);
 	server->proxy = proxy_create(servers->base, proxy_address, address);
