soak: gateways end with the soak that started them

A soak that ended early left its gateways running, which then served the callers of a later play on the same ports. The same soak killed after 2 s now leaves none.

--- a/test/soak/gateways.c
+++ b/test/soak/gateways.c
@@ -2,6 +2,7 @@
 #include <errno.h>
 #include <signal.h>
 #include <stdio.h>
+#include <sys/prctl.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -59,6 +60,8 @@
 	gw->log_size = file_size(gw->log_path);
 	gw->pid = fork();
 	if (gw->pid == 0) {
+		/* One that is left over would serve later plays. */
+		(void)prctl(PR_SET_PDEATHSIG, SIGKILL);
 		/* A copy of a socket would keep a crashed server's connections
 		 * open. */
 		closefrom(STDERR_FILENO + 1);
