soak: start gateways by vfork()

A server that crashes is started again on its port; gateway 1 had been forked just before, and its log begins 28 ms after the port was free: until the child runs closefrom() it holds a copy of each listener, and on a busy machine it ran late. After vfork() the soak goes on only once the child has become the gateway.

--- a/test/soak/gateways.c
+++ b/test/soak/gateways.c
@@ -1,5 +1,6 @@
 /** @file gateways.c @brief The gateway processes of the soak. */
 #include <errno.h>
+#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <sys/prctl.h>
@@ -48,6 +49,24 @@
 	return stat(path, &st) == 0 ? st.st_size : 0;
 }
 
+/* Replaces the child of a vfork(): only system calls. */
+static _Noreturn void run_gateway(const char *log_path, char *const argv[])
+{
+	int fd;
+
+	/* One that is left over would serve later plays. */
+	(void)prctl(PR_SET_PDEATHSIG, SIGKILL);
+	/* A copy of a socket would keep a crashed server's connections open. */
+	closefrom(STDERR_FILENO + 1);
+	fd = open(log_path, O_WRONLY | O_CREAT | O_APPEND, 0600);
+	if (fd < 0 || dup2(fd, STDOUT_FILENO) < 0 ||
+	    dup2(fd, STDERR_FILENO) < 0)
+		_exit(126);
+	(void)close(fd);
+	execv(argv[0], argv);
+	_exit(127);
+}
+
 static void start_gateway(const struct gateways *gateways, struct gateway *gw)
 {
 	const char *binary = gw->earlier ? gateways->earlier : gateways->binary;
@@ -58,19 +77,11 @@
 
 	gw->epoch++;
 	gw->log_size = file_size(gw->log_path);
-	gw->pid = fork();
-	if (gw->pid == 0) {
-		/* One that is left over would serve later plays. */
-		(void)prctl(PR_SET_PDEATHSIG, SIGKILL);
-		/* A copy of a socket would keep a crashed server's connections
-		 * open. */
-		closefrom(STDERR_FILENO + 1);
-		if (freopen(gw->log_path, "a", stdout) == NULL ||
-		    dup2(STDOUT_FILENO, STDERR_FILENO) < 0)
-			_exit(126);
-		execv(binary, argv);
-		_exit(127);
-	}
+	/* A fork would hold the ports of servers until the child runs, which
+	 * takes a while on a busy machine. */
+	gw->pid = vfork();
+	if (gw->pid == 0)
+		run_gateway(gw->log_path, argv);
 }
 
 /* Whether a build accepts a settings file. */
