--- a/test/soak/crashes.c
+++ b/test/soak/crashes.c
@@ -55,7 +55,7 @@
 	struct request requests[REQUESTS_MAX];
 	guint count; /* requests */
 	struct caller callers[CALLERS];
-	GQueue idle[SOAK_GATEWAYS];
+	GQueue idle[SOAK_GATEWAYS_MAX];
 	struct event *timer;
 	bool stopped;
 	bool calm;
@@ -196,7 +196,8 @@
 static void send_try(struct caller *caller)
 {
 	struct crashes *crashes = caller->crashes;
-	int gateway = (int)rng_below(&crashes->rng, SOAK_GATEWAYS);
+	int gateway =
+		(int)rng_below(&crashes->rng, (uint64_t)soak_gateway_count());
 	const char *body = caller->is_sound ? SOUND_BODY : CRASH_BODY;
 	struct upstream_request request = {.idle = &crashes->idle[gateway],
 					   .connect_timeout_ms = 500};
@@ -205,7 +206,7 @@
 	if (!caller->is_sound)
 		choose_request(caller);
 	g_snprintf(address, sizeof(address), "127.0.0.1:%d",
-		   crashes->config.gateway_port + gateway * 10);
+		   crashes->config.gateway_port + gateway * SOAK_ADDRESS_STEP);
 	request.address = address;
 	request.head = g_string_new(NULL);
 	g_string_printf(request.head,
--- a/test/soak/gateways.c
+++ b/test/soak/gateways.c
@@ -13,7 +13,6 @@
 #include "soak.h"
 
 enum {
-	ADDRESS_STEP = 10, /* ports of each gateway */
 	RECOVERY_MIN_MS = 100,
 	RECOVERY_SPREAD_MS = 1500,
 	REPLACE_STEPS = 4, /* on average, between two replacements */
@@ -38,7 +37,8 @@
 	const char *earlier; /* an earlier build, or NULL */
 	bool going_back;     /* the earlier build replaces the other one */
 	guint replaced;
-	struct gateway list[SOAK_GATEWAYS];
+	int count;
+	struct gateway list[SOAK_GATEWAYS_MAX];
 	guint early_ends;
 };
 
@@ -102,7 +102,7 @@
 static char *write_settings(const struct gateways_config *config, int i,
 			    const char *name, bool has_tunnel)
 {
-	int port = config->port + i * ADDRESS_STEP;
+	int port = config->port + i * SOAK_ADDRESS_STEP;
 	char *path = g_strdup_printf("%s/g%d%s.json", config->dir, i, name);
 	char *tunnel = has_tunnel ? g_strdup_printf("\"tunnel\":"
 						    "\"127.0.0.1:%d\",",
@@ -144,7 +144,8 @@
 
 	gateways->binary = config->binary;
 	gateways->earlier = config->earlier;
-	for (int i = 0; i < SOAK_GATEWAYS; i++) {
+	gateways->count = soak_gateway_count();
+	for (int i = 0; i < gateways->count; i++) {
 		set_up_gateway(&gateways->list[i], config, i);
 		start_gateway(gateways, &gateways->list[i]);
 	}
@@ -153,7 +154,7 @@
 
 void gateways_destroy(struct gateways *gateways)
 {
-	for (int i = 0; i < SOAK_GATEWAYS; i++) {
+	for (int i = 0; i < gateways->count; i++) {
 		struct gateway *gw = &gateways->list[i];
 
 		kill(gw->pid, SIGKILL);
@@ -167,7 +168,8 @@
 
 void gateways_inject_fault(struct gateways *gateways, struct rng *rng)
 {
-	struct gateway *gw = &gateways->list[rng_below(rng, SOAK_GATEWAYS)];
+	struct gateway *gw =
+		&gateways->list[rng_below(rng, (uint64_t)gateways->count)];
 	int64_t resume_at_ms = clock_boot_ms() + RECOVERY_MIN_MS +
 			       (int64_t)rng_below(rng, RECOVERY_SPREAD_MS);
 
@@ -198,7 +200,7 @@
 					bool *all_replaced)
 {
 	*all_replaced = true;
-	for (int i = 0; i < SOAK_GATEWAYS; i++) {
+	for (int i = 0; i < gateways->count; i++) {
 		struct gateway *gw = &gateways->list[i];
 
 		if (gw->earlier == gateways->going_back)
@@ -235,7 +237,7 @@
 
 void gateways_choose_build(struct gateways *gateways, bool earlier)
 {
-	for (int i = 0; i < SOAK_GATEWAYS; i++)
+	for (int i = 0; i < gateways->count; i++)
 		gateways->list[i].earlier = earlier;
 }
 
@@ -251,7 +253,7 @@
 
 void gateways_kill_all(struct gateways *gateways)
 {
-	for (int i = 0; i < SOAK_GATEWAYS; i++) {
+	for (int i = 0; i < gateways->count; i++) {
 		struct gateway *gw = &gateways->list[i];
 
 		kill(gw->pid, SIGKILL);
@@ -265,7 +267,7 @@
 {
 	int64_t now = clock_boot_ms();
 
-	for (int i = 0; i < SOAK_GATEWAYS; i++) {
+	for (int i = 0; i < gateways->count; i++) {
 		struct gateway *gw = &gateways->list[i];
 
 		if (gw->resume_at_ms == 0 ||
@@ -296,7 +298,7 @@
 {
 	int status;
 
-	for (int i = 0; i < SOAK_GATEWAYS; i++) {
+	for (int i = 0; i < gateways->count; i++) {
 		struct gateway *gw = &gateways->list[i];
 
 		if (gw->resume_at_ms != 0 ||
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -2,9 +2,10 @@
  * @file soak.c
  * @brief Fault-injection soak test of real gateway processes.
  *
- * soak [--earlier BINARY] BINARY SEED [MS [PORT]]: starts three gateway
- * processes between stand-ins and fault-injecting proxies, injects random
- * faults for MS and then checks, from what callers and backend servers saw:
+ * soak [--earlier BINARY] [--gateways N] BINARY SEED [MS [PORT]]: starts
+ * gateway processes, three by default, between stand-ins and fault-injecting
+ * proxies, injects random faults for MS and then checks, from what callers and
+ * backend servers saw:
  *  - no request ran twice
  *  - a request that was refused as not executed did not run
  *  - a request answered 200 ran, with the body and account of its caller
@@ -48,23 +49,24 @@
 #include "test/standins/rowstore.h"
 
 enum {
-	GATEWAY_COUNT = SOAK_GATEWAYS,
 	STREAM_EVENTS = SERVERS_TURN_EVENTS,
 	EVENT_TOKENS = 10,    /* as the configuration says */
 	TURN_TOKENS_MAX = 60, /* as callers declare it */
 	BUDGET_TOKENS = 400,
-	CALLER_COUNT = 8,
+	CALLER_COUNT = 8, /* or as many as there are gateways */
+	CALLERS_MAX = SOAK_GATEWAYS_MAX,
 	PROGRAM_TURNS = 6,
 	READY_TIMEOUT_MS = 3000, /* to serve a turn after the faults */
 	SETTLE_MS = 4000,	 /* without faults, before the final check */
 	KILL_ALL_STEPS = 30,	 /* on average, between kills of all gateways */
-	STORES_PORT = 10,	 /* of the gateways' ways to the store */
-	GATEWAYS_PORT = 100,
-	CRASHES_PORT = 150,	/* of the servers that crash */
+	CRASHES_PORT = 10,	 /* of the servers that crash */
+	STORES_PORT = 100,	 /* of the gateways' ways to the store */
+	GATEWAYS_PORT = 200,
 	TRIALS_MS = 15000,	/* of a request that may crash servers */
 	CALL_TIMEOUT_MS = 2000, /* a caller's timeout */
 	DEFAULT_PORT = 19000,
-	EXIT_KNOWN = 3, /* nothing failed but what KNOWN-RED.txt may list */
+	GATEWAY_COUNT = 3, /* the default */
+	EXIT_KNOWN = 3,	   /* nothing failed but what KNOWN-RED.txt may list */
 };
 
 /* The route kept streams turns that are retained, free streams that can resume;
@@ -108,13 +110,15 @@
 	struct event_base *base;
 	struct upstream *upstream;
 	struct rowstore *store;
-	struct proxy *store_proxies[GATEWAY_COUNT];
+	struct proxy *store_proxies[SOAK_GATEWAYS_MAX];
 	struct servers *servers;
 	struct streams *streams;
 	struct crashes *crashes;
 	struct gateways *gateways;
-	struct caller callers[CALLER_COUNT];
-	GQueue idle[GATEWAY_COUNT];
+	struct caller callers[CALLERS_MAX];
+	int caller_count;
+	GQueue idle[SOAK_GATEWAYS_MAX];
+	int gateway_count;
 	GPtrArray *requests; /* of struct soak_request, every one */
 	struct rng rng;
 	struct rng release_rng; /* of what is done to versions */
@@ -125,7 +129,7 @@
 	struct rng build_rng; /* of upgrades */
 	int64_t send_until_ms;
 	uint32_t next_id;
-	int port; /* first of the 200 ports in use */
+	int port; /* first of the ports in use: 200, and 10 for each gateway */
 	int config_version;
 	uint32_t completed_turns; /* of all callers */
 	uint32_t faults;
@@ -147,6 +151,11 @@
 	failures++;
 }
 
+int soak_gateway_count(void)
+{
+	return state.gateway_count;
+}
+
 void soak_on_sent(struct soak_request *request, int gateway)
 {
 	request->gateway = gateway;
@@ -315,9 +324,11 @@
 
 	/* Sessions move between instances. */
 	if (rng_below(&state.rng, 5) == 0)
-		caller->gateway = (int)rng_below(&state.rng, GATEWAY_COUNT);
+		caller->gateway = (int)rng_below(&state.rng,
+						 (uint64_t)state.gateway_count);
 	g_snprintf(address, sizeof(address), "127.0.0.1:%d",
-		   state.port + GATEWAYS_PORT + caller->gateway * 10);
+		   state.port + GATEWAYS_PORT +
+			   caller->gateway * SOAK_ADDRESS_STEP);
 	request.address = address;
 	request.idle = &state.idle[caller->gateway];
 	request.head = g_string_new(NULL);
@@ -376,10 +387,11 @@
 		gateways_inject_fault(state.gateways, &state.rng);
 		break;
 	case 2:
-		proxy_set_mode(state.store_proxies[rng_below(&state.rng,
-							     GATEWAY_COUNT)],
-			       (enum proxy_mode)rng_below(&state.rng,
-							  PROXY_MODE_COUNT));
+		proxy_set_mode(
+			state.store_proxies[rng_below(
+				&state.rng, (uint64_t)state.gateway_count)],
+			(enum proxy_mode)rng_below(&state.rng,
+						   PROXY_MODE_COUNT));
 		break;
 	case 3:
 		proxy_set_mode(servers_pick_proxy(state.servers, &state.rng),
@@ -412,7 +424,7 @@
 {
 	rowstore_set_mode(state.store, ROWSTORE_OK);
 	rowstore_set_delay(state.store, 0);
-	for (int i = 0; i < GATEWAY_COUNT; i++)
+	for (int i = 0; i < state.gateway_count; i++)
 		proxy_set_mode(state.store_proxies[i], PROXY_PASS);
 	servers_clear_faults(state.servers);
 }
@@ -478,7 +490,7 @@
 	if (state.store == NULL)
 		return false;
 	put_config();
-	for (int i = 0; i < GATEWAY_COUNT; i++) {
+	for (int i = 0; i < state.gateway_count; i++) {
 		g_snprintf(listen_address, sizeof(listen_address),
 			   "127.0.0.1:%d", state.port + STORES_PORT + i);
 		state.store_proxies[i] = proxy_create(
@@ -508,10 +520,10 @@
 
 static void start_callers(void)
 {
-	for (int i = 0; i < CALLER_COUNT; i++) {
+	for (int i = 0; i < state.caller_count; i++) {
 		struct caller *caller = &state.callers[i];
 
-		caller->gateway = i % GATEWAY_COUNT;
+		caller->gateway = i % state.gateway_count;
 		caller->history = g_string_new(NULL);
 		caller->body = g_string_new(NULL);
 		caller->timer = evtimer_new(state.base, on_timer, caller);
@@ -551,7 +563,7 @@
 	state.completed_turns = 0;
 	streams_reset_completed(state.streams);
 	state.send_until_ms += READY_TIMEOUT_MS;
-	for (int i = 0; i < CALLER_COUNT; i++)
+	for (int i = 0; i < state.caller_count; i++)
 		set_timer(&state.callers[i], 1);
 	run_for(READY_TIMEOUT_MS);
 	if (state.completed_turns == 0)
@@ -573,16 +585,21 @@
 	const GOptionEntry entries[] = {
 		{"earlier", 0, 0, G_OPTION_ARG_FILENAME, &state.earlier,
 		 "an earlier build, to upgrade from and go back to", "BINARY"},
+		{"gateways", 0, 0, G_OPTION_ARG_INT, &state.gateway_count,
+		 "how many there are, 60 at most; the default is 3", "N"},
 		{0},
 	};
 	GOptionContext *context =
 		g_option_context_new("BINARY SEED [MS [PORT]]");
 	bool parsed;
 
+	state.gateway_count = GATEWAY_COUNT;
 	g_option_context_add_main_entries(context, entries, NULL);
 	parsed = g_option_context_parse(context, argc, argv, NULL);
 	g_option_context_free(context);
-	return parsed;
+	state.caller_count = MAX(CALLER_COUNT, state.gateway_count);
+	return parsed && state.gateway_count >= 1 &&
+	       state.gateway_count <= SOAK_GATEWAYS_MAX;
 }
 
 int main(int argc, char **argv)
@@ -596,8 +613,8 @@
 
 	if (!parse_options(&argc, &argv) || argc < 2 || sodium_init() < 0 ||
 	    mkdtemp(dir) == NULL) {
-		fprintf(stderr, "usage: soak [--earlier BINARY] BINARY SEED "
-				"[MS [PORT]]\n");
+		fprintf(stderr, "usage: soak [--earlier BINARY] [--gateways N] "
+				"BINARY SEED [MS [PORT]]\n");
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -12,7 +12,8 @@
 #include "serve/upstream.h"
 
 enum {
-	SOAK_GATEWAYS = 3,
+	SOAK_GATEWAYS_MAX = 60,
+	SOAK_ADDRESS_STEP = 10, /* ports of each gateway */
 };
 
 /** One request and its outcome. */
@@ -31,6 +32,8 @@
 	int64_t answered_ms; /**< when its head was received */
 };
 
+/** Returns how many gateways there are. */
+int soak_gateway_count(void);
 /** Records that the request is sent to @p gateway. */
 void soak_on_sent(struct soak_request *request, int gateway);
 /** Records the head of the response. */
--- a/test/soak/streams.c
+++ b/test/soak/streams.c
@@ -44,7 +44,7 @@
 struct streams {
 	struct streams_config config;
 	struct rng rng;
-	GQueue idle[SOAK_GATEWAYS];
+	GQueue idle[SOAK_GATEWAYS_MAX];
 	struct stream_caller callers[CALLER_COUNT];
 	int64_t until_ms;
 	guint next_id;
@@ -184,7 +184,7 @@
 	streams->refused += refused && caller->begun_as != NULL;
 	caller->gateway =
 		(caller->gateway + 1 + (int)rng_below(&streams->rng, 2)) %
-		SOAK_GATEWAYS;
+		soak_gateway_count();
 	/* Some callers insist after a refusal: another gateway may know. */
 	if (caller->begun_as == NULL || caller->attempts >= ATTEMPTS_MAX ||
 	    time_left_ms(caller) < MIN_LEFT_MS ||
@@ -276,7 +276,7 @@
 	g_string_append_printf(caller->trace, " at %" G_GINT64_FORMAT "]",
 			       g_get_real_time() / 1000);
 	g_snprintf(address, sizeof(address), "127.0.0.1:%d",
-		   streams->config.port + caller->gateway * 10);
+		   streams->config.port + caller->gateway * SOAK_ADDRESS_STEP);
 	request.address = address;
 	request.idle = &streams->idle[caller->gateway];
 	request.head = request_head(caller);
@@ -317,13 +317,13 @@
 	streams->config = *config;
 	streams->rng.state = config->seed;
 	streams->next_id = 1;
-	for (int i = 0; i < SOAK_GATEWAYS; i++)
+	for (int i = 0; i < SOAK_GATEWAYS_MAX; i++)
 		g_queue_init(&streams->idle[i]);
 	for (int i = 0; i < CALLER_COUNT; i++) {
 		struct stream_caller *caller = &streams->callers[i];
 
 		caller->streams = streams;
-		caller->gateway = i % SOAK_GATEWAYS;
+		caller->gateway = i % soak_gateway_count();
 		caller->received = g_string_new(NULL);
 		caller->trace = g_string_new(NULL);
 		caller->timer = evtimer_new(config->base, on_timer, caller);
--- a/test/unit/test_goaway.c
+++ b/test/unit/test_goaway.c
@@ -29,6 +29,7 @@
 	CARRIED_MS = 3000, /* until connections are carried */
 	AT_ONCE_MS = 100,
 	LIST_MS = 200, /* until the instances know a change of the list */
+	ONE_VERSION_MS = 5200, /* the route's timeout and 2 s */
 	WAITING = 6,
 	NAMES = 5000,
 };
@@ -39,7 +40,8 @@
 	struct backend *backend;	 /* the one that callers get to */
 	const char *path;
 	const char *body;
-	int gateway; /* that its callers use */
+	const char *headers; /* more of them, or NULL */
+	int gateway;	     /* that its callers use */
 };
 
 static struct subject plain_subject(void)
@@ -74,7 +76,8 @@
 {
 	struct fixture_response response;
 	char *headers = g_strdup_printf(
-		AUTH_HEADER TURN_HEADERS "Request-Id: r%u\r\n", fx.next_id++);
+		AUTH_HEADER TURN_HEADERS "Request-Id: r%u\r\n%s", fx.next_id++,
+		subject->headers ? subject->headers : "");
 	int status;
 
 	fixture_request(&response, subject->gateway, subject->path, headers,
@@ -174,6 +177,19 @@
 	assert_int_equal(count_late(&subject), 0);
 }
 
+static void test_stream_is_taken_up_at_another_server(void **state)
+{
+	struct subject subject = {
+		.backends = fx.engines, .path = "/free/turn", .body = "x"};
+
+	(void)state;
+	/* By then instances know that there is one version only. */
+	fixture_run_until(NULL, ONE_VERSION_MS);
+	go_away(&subject, BACKEND_OK);
+	subject.headers = "Last-Event-Id: 2\r\nResumes: r0\r\n";
+	assert_int_equal(count_late(&subject), 0);
+}
+
 /* The server at the address is another one than the list says, and goes away:
  * it must not get requests once it is listed either. */
 static void test_announced_by_another_server_at_the_address(void **state)
@@ -390,6 +406,7 @@
 		GOAWAY_TEST(test_announced_in_a_refusal),
 		GOAWAY_TEST(test_announced_in_the_head_of_a_stream),
 		GOAWAY_TEST(test_program_leaves_its_server),
+		GOAWAY_TEST(test_stream_is_taken_up_at_another_server),
 		GOAWAY_TEST(test_announced_by_another_server_at_the_address),
 		GOAWAY_TEST(test_list_says_ready_again),
 		GOAWAY_TEST(test_server_starts_again),
