soak: one gateway loses its links to the servers now and then

Carried connections, and with them answers without a length that are carried, were in no play of the soak: all gateways reached each server through one proxy, so that links failed for all or none. The first gateway now sees the servers under another loopback address, where proxies of its own are taken away all at once for 0.5 to 3.5 s. Other instances then carry its connections, while they are killed, frozen and cut too.

--- a/test/gateway/links.c
+++ b/test/gateway/links.c
@@ -44,7 +44,8 @@
 {
 	struct links *links = g_new0(struct links, 1);
 
-	rowstore_set_alternate_host(fx.store, DIRECT_PREFIX, LINK_PREFIX);
+	rowstore_set_alternate_host(fx.store, STORE_ALT_ADDRESS, DIRECT_PREFIX,
+				    LINK_PREFIX);
 	for (int i = 0; i < LINK_COUNT; i++) {
 		open_proxy(links, i);
 		links->tarpits[i] = -1;
--- a/test/soak/crashes.c
+++ b/test/soak/crashes.c
@@ -10,6 +10,8 @@
 
 #define CRASH_BODY "crash"
 #define SOUND_BODY "sound"
+/* Not one that servers.c replaces for a gateway that loses its links. */
+#define SERVER_HOST "127.0.0.3"
 
 enum {
 	SERVERS = 3,
@@ -81,7 +83,7 @@
 			     NULL);
 	g_snprintf(server->id, sizeof(server->id), "c%d-%d", i,
 		   ++server->starts);
-	g_snprintf(address, sizeof(address), "127.0.0.1:%d", port);
+	g_snprintf(address, sizeof(address), SERVER_HOST ":%d", port);
 	server->backend =
 		backend_create(crashes->config.base, address, server->id, 0, 0);
 	if (server->backend == NULL)
--- a/test/soak/servers.c
+++ b/test/soak/servers.c
@@ -4,8 +4,14 @@
 #include "proxy.h"
 #include "serve/clock.h"
 #include "servers.h"
+#include "soak.h"
 #include "test/standins/backend.h"
 
+/* Where servers are listed, and where one gateway sees them. */
+#define LISTED_HOST "127.0.0.1"
+#define LINK_HOST "127.0.0.2"
+#define ADDRESS_FIELD "\"address\":\""
+
 enum {
 	SERVER_MAX = 40, /* over time; each has an ID and ports of its own */
 	PORT = 20,
@@ -14,8 +20,10 @@
 	LISTED_ENGINES_MAX = 6,
 	DRAIN_MIN_MS = 200, /* a draining engine stays listed at least so long
 			     */
-	GOING_AWAY_MS =
-		5000, /* a server that has announced its shutdown runs */
+	LINKS_STEPS = 10,   /* on average, between two losses of the links */
+	LINKS_LOST_MIN_MS = 500,
+	LINKS_LOST_SPREAD_MS = 3000,
+	GOING_AWAY_MS = 5000, /* from the announcement to the end */
 	GOING_AWAY_STEPS = 6, /* on average, between two of them */
 	TURN_GAP_MS = 5,      /* between events */
 	STREAM_GAP_MS = 15,   /* slow, so that faults hit streams */
@@ -38,6 +46,7 @@
 	int64_t going_away_since_ms;
 	struct backend *backend;
 	struct proxy *proxy;
+	struct proxy *link; /* of one gateway, to the proxy; NULL: lost */
 };
 
 struct servers {
@@ -46,6 +55,9 @@
 	struct rng *rng;
 	struct rng goaway_rng; /* of servers that go away unlisted */
 	int port;
+	struct rng links_rng;
+	int64_t links_back_ms; /* 0: they are not lost */
+	guint link_losses;
 	struct server list[SERVER_MAX]; /* the first is the service */
 	guint count;
 };
@@ -54,7 +66,7 @@
 {
 	const struct server *server = &servers->list[i];
 	char *text = g_strdup_printf(
-		"{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\","
+		"{\"service\":\"%s\"," ADDRESS_FIELD LISTED_HOST ":%u\","
 		"\"zone\":\"z\",\"version\":\"v%u\",\"slots\":8,"
 		"\"state\":\"%s\",\"cold_left_ms\":0,\"born\":1}",
 		server->engine ? "engines" : "shop",
@@ -65,6 +77,18 @@
 	g_free(text);
 }
 
+static bool open_link(struct servers *servers, guint i)
+{
+	guint port = (guint)servers->port + PROXY_PORT + i;
+	char address[32];
+	char target[32];
+
+	g_snprintf(address, sizeof(address), LINK_HOST ":%u", port);
+	g_snprintf(target, sizeof(target), LISTED_HOST ":%u", port);
+	servers->list[i].link = proxy_create(servers->base, address, target);
+	return servers->list[i].link != NULL;
+}
+
 static bool add_server(struct servers *servers, bool engine, guint version)
 {
 	guint i = servers->count;
@@ -88,7 +112,8 @@
 	backend_set_long_streams(server->backend, "/free/",
 				 SERVERS_STREAM_EVENTS, STREAM_GAP_MS);
 	server->proxy = proxy_create(servers->base, proxy_address, address);
-	if (server->proxy == NULL)
+	if (server->proxy == NULL ||
+	    (servers->links_back_ms == 0 && !open_link(servers, i)))
 		return false;
 	servers->count++;
 	put_row(servers, i);
@@ -96,7 +121,8 @@
 }
 
 struct servers *servers_create(struct event_base *base, struct rowstore *store,
-			       int port, struct rng *rng)
+			       int port, const char *link_reader,
+			       struct rng *rng)
 {
 	struct servers *servers = g_new0(struct servers, 1);
 	/* For half of the seeds the second version comes while streams run. */
@@ -107,6 +133,10 @@
 	servers->port = port;
 	servers->rng = rng;
 	servers->goaway_rng.state = rng_mix(rng->state);
+	servers->links_rng.state = rng_mix(rng->state + 1);
+	rowstore_set_alternate_host(store, link_reader,
+				    ADDRESS_FIELD LISTED_HOST,
+				    ADDRESS_FIELD LINK_HOST);
 	if (!add_server(servers, false, 1))
 		return NULL;
 	for (guint i = 1; i <= FIRST_ENGINES; i++)
@@ -274,9 +304,40 @@
 	return &servers->list[i];
 }
 
+/* Connections to the servers fail at one gateway. */
+static void lose_links(struct servers *servers)
+{
+	servers->link_losses++;
+	servers->links_back_ms =
+		clock_boot_ms() + LINKS_LOST_MIN_MS +
+		(int64_t)rng_below(&servers->links_rng, LINKS_LOST_SPREAD_MS);
+	for (guint i = 0; i < servers->count; i++)
+		g_clear_pointer(&servers->list[i].link, proxy_destroy);
+}
+
+static void restore_links(struct servers *servers)
+{
+	servers->links_back_ms = 0;
+	for (guint i = 0; i < servers->count; i++) {
+		if (servers->list[i].link == NULL && !open_link(servers, i))
+			soak_fail("the link to server %u is not restored", i);
+	}
+}
+
+static void change_links(struct servers *servers)
+{
+	if (servers->links_back_ms == 0) {
+		if (rng_below(&servers->links_rng, LINKS_STEPS) == 0)
+			lose_links(servers);
+	} else if (clock_boot_ms() >= servers->links_back_ms) {
+		restore_links(servers);
+	}
+}
+
 void servers_change(struct servers *servers)
 {
 	unlist_gone(servers);
+	change_links(servers);
 	if (rng_below(&servers->goaway_rng, GOING_AWAY_STEPS) == 0)
 		announce_shutdown(servers);
 	switch (rng_below(servers->rng, 12)) {
@@ -316,8 +377,14 @@
 	return pick_server(servers, rng)->backend;
 }
 
+guint servers_link_losses(const struct servers *servers)
+{
+	return servers->link_losses;
+}
+
 void servers_clear_faults(struct servers *servers)
 {
+	restore_links(servers);
 	for (guint i = 0; i < servers->count; i++) {
 		struct server *server = &servers->list[i];
 
--- a/test/soak/servers.h
+++ b/test/soak/servers.h
@@ -23,16 +23,20 @@
  * Starts servers behind proxies and lists them in the store.
  *
  * @param port the ports from 20 to 99 above it are used
+ * @param link_reader HOST:PORT where one gateway reads the list; it reaches the
+ *             servers over links that are lost now and then
  * @param rng  of the changes; it has to outlive them
  * @return NULL if it can't listen
  */
 struct servers *servers_create(struct event_base *base, struct rowstore *store,
-			       int port, struct rng *rng);
+			       int port, const char *link_reader,
+			       struct rng *rng);
 /** Perhaps continues the release by one step, or cuts connections. */
 void servers_change(struct servers *servers);
 /** Returns the proxy, or the backend, of any server that is listed. */
 struct proxy *servers_pick_proxy(struct servers *servers, struct rng *rng);
 struct backend *servers_pick_backend(struct servers *servers, struct rng *rng);
+guint servers_link_losses(const struct servers *servers);
 void servers_clear_faults(struct servers *servers);
 /** Returns the software version of a server, or 0 if there was none of that
  * id. */
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -112,6 +112,7 @@
 	struct rowstore *store;
 	struct proxy *store_proxies[SOAK_GATEWAYS_MAX];
 	struct servers *servers;
+	char *link_reader;
 	struct streams *streams;
 	struct crashes *crashes;
 	struct gateways *gateways;
@@ -505,8 +506,11 @@
 		.port = state.port + GATEWAYS_PORT,
 		.store_port = state.port + STORES_PORT,
 	});
+	/* As in the settings of the first gateway. */
+	state.link_reader =
+		g_strdup_printf("127.0.0.1:%d", state.port + STORES_PORT);
 	state.servers = servers_create(state.base, state.store, state.port,
-				       &state.release_rng);
+				       state.link_reader, &state.release_rng);
 	state.crashes = crashes_create(&(struct crashes_config){
 		.base = state.base,
 		.upstream = state.upstream,
@@ -656,6 +660,8 @@
 	       failures, dir);
 	streams_print(state.streams);
 	crashes_print(state.crashes);
+	printf("links: lost %u times by one gateway\n",
+	       servers_link_losses(state.servers));
 	printf("goaway: %u servers announced their shutdown through a gateway; "
 	       "%u requests were sent there later than allowed\n",
 	       goaway.announced, goaway.late);
--- a/test/standins/rowstore.c
+++ b/test/standins/rowstore.c
@@ -44,9 +44,9 @@
 struct rowstore {
 	struct event_base *base;
 	struct inbound *inbound;
-	struct inbound *alternate; /* the alternate address */
-	char *alternate_address;
-	const char *alternate_from; /* replaced in rows read there, or NULL */
+	struct inbound *alternate;  /* the alternate address */
+	const char *alternate_host; /* of requests that read other rows */
+	const char *alternate_from; /* replaced in these rows, or NULL */
 	const char *alternate_to;
 	bool alternate_blocked;
 	struct event *tick;
@@ -152,7 +152,7 @@
 {
 	return rowstore->alternate_from != NULL &&
 	       g_strcmp0(hdr_get(request->headers, "Host"),
-			 rowstore->alternate_address) == 0;
+			 rowstore->alternate_host) == 0;
 }
 
 static void reply(struct rowstore *rowstore, struct inbound_request *request,
@@ -580,7 +580,6 @@
 		return;
 	inbound_destroy(rowstore->inbound);
 	inbound_destroy(rowstore->alternate);
-	g_free(rowstore->alternate_address);
 	event_free(rowstore->tick);
 	g_queue_clear_full(&rowstore->delayed, g_free);
 	g_ptr_array_free(rowstore->feeds, TRUE);
@@ -593,14 +592,14 @@
 	static const struct inbound_handler handler = {on_alternate_request,
 						       on_disconnect};
 
-	rowstore->alternate_address = g_strdup(address);
 	rowstore->alternate =
 		inbound_create(rowstore->base, address, &handler, rowstore);
 }
 
-void rowstore_set_alternate_host(struct rowstore *rowstore, const char *from,
-				 const char *to)
+void rowstore_set_alternate_host(struct rowstore *rowstore, const char *host,
+				 const char *from, const char *to)
 {
+	rowstore->alternate_host = host;
 	rowstore->alternate_from = from;
 	rowstore->alternate_to = to;
 }
--- a/test/standins/rowstore.h
+++ b/test/standins/rowstore.h
@@ -31,10 +31,10 @@
 void rowstore_set_delay(struct rowstore *rowstore, int64_t ms);
 /** Listens on an alternate address, which can be made to fail on its own. */
 void rowstore_listen_alternate(struct rowstore *rowstore, const char *address);
-/** Replaces @p from by @p to, two literals, in the rows that are read through
- * the alternate address: its readers see other addresses of servers. */
-void rowstore_set_alternate_host(struct rowstore *rowstore, const char *from,
-				 const char *to);
+/** Replaces @p from by @p to, in the rows that are read by requests to @p host,
+ * all literals: these readers see other addresses of servers. */
+void rowstore_set_alternate_host(struct rowstore *rowstore, const char *host,
+				 const char *from, const char *to);
 /** Sets whether requests to the alternate address get 503. */
 void rowstore_block_alternate(struct rowstore *rowstore, bool blocked);
 /** Writes a row unconditionally; a @p value of NULL removes it. */
