--- a/test/unit/test_suspect.c
+++ b/test/unit/test_suspect.c
@@ -67,6 +67,15 @@
 	return suspect_add(suspects, &mark, now);
 }
 
+/* Adds marks of three servers, which were not known. */
+static void add_three(struct suspects *suspects, enum suspect_evidence evidence,
+		      int64_t now)
+{
+	assert_true(add(suspects, "s1", evidence, now));
+	assert_true(add(suspects, "s2", evidence, now));
+	assert_true(add(suspects, "s3", evidence, now));
+}
+
 static bool is_refused(struct suspects *suspects, int64_t now)
 {
 	int64_t wait_ms = 0;
@@ -140,18 +149,14 @@
 	struct suspects *suspects = create(&view);
 
 	(void)state;
-	add(suspects, "s1", SUSPECT_BROKEN, 0);
-	add(suspects, "s2", SUSPECT_BROKEN, 0);
-	add(suspects, "s3", SUSPECT_BROKEN, 0);
+	add_three(suspects, SUSPECT_BROKEN, 0);
 	assert_true(is_refused(suspects, 0));
 	view.server = SUSPECT_SERVER_ALIVE;
 	assert_false(is_refused(suspects, 200));
 	assert_int_equal(view.changes[SUSPECT_DISPROVED], 3);
 	/* The same again, with servers that are listed all the while. */
 	view.server = SUSPECT_SERVER_LISTED;
-	add(suspects, "s1", SUSPECT_BROKEN, 1000);
-	add(suspects, "s2", SUSPECT_BROKEN, 1000);
-	add(suspects, "s3", SUSPECT_BROKEN, 1000);
+	add_three(suspects, SUSPECT_BROKEN, 1000);
 	suspect_settle(suspects, 2000);
 	assert_true(is_refused(suspects, 2000));
 	suspect_settle(suspects, 1000 + SETTLED_MS);
@@ -190,9 +195,7 @@
 	struct suspects *suspects = create(&view);
 
 	(void)state;
-	add(suspects, "s1", SUSPECT_SILENT, 0);
-	add(suspects, "s2", SUSPECT_SILENT, 0);
-	add(suspects, "s3", SUSPECT_SILENT, 0);
+	add_three(suspects, SUSPECT_SILENT, 0);
 	assert_false(is_refused(suspects, 0));
 	view.server = SUSPECT_SERVER_GONE;
 	suspect_settle(suspects, 5000);
@@ -417,9 +420,7 @@
 	struct suspects *suspects = create(&view);
 
 	(void)state;
-	add(suspects, "s1", SUSPECT_BROKEN, 0);
-	add(suspects, "s2", SUSPECT_BROKEN, 0);
-	add(suspects, "s3", SUSPECT_BROKEN, 0);
+	add_three(suspects, SUSPECT_BROKEN, 0);
 	for (uint64_t i = 0; i < MANY; i++) {
 		struct suspect_mark mark = {OTHER_REQUEST + i, "s1", 1,
 					    (int64_t)i, SUSPECT_BROKEN};
@@ -437,9 +438,7 @@
 	struct suspects *suspects = create(&view);
 
 	(void)state;
-	add(suspects, "s1", SUSPECT_BROKEN, 0);
-	add(suspects, "s2", SUSPECT_BROKEN, 0);
-	add(suspects, "s3", SUSPECT_BROKEN, 0);
+	add_three(suspects, SUSPECT_BROKEN, 0);
 	view.server = SUSPECT_SERVER_ALIVE;
 	assert_false(is_refused(suspects, 200));
 	view.server = SUSPECT_SERVER_LISTED;
