--- a/test/unit/test_builds.c
+++ b/test/unit/test_builds.c
@@ -6,17 +6,26 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cmocka.h>
+#include <event2/util.h>
+#include <netinet/in.h>
 
+#include "decide/suspect.h"
 #include "proto/message.h"
 #include "serve/turns_int.h"
+#include "test/gateway/fixture.h"
 
 enum {
 	OWN = 7, /* incarnations */
 	FORMER = 8,
 	OWN_TOKENS = 100,
 	FORMER_TOKENS = 40,
+	PEER_PORT = 2, /* see fixture_gateway_address() */
+	LATER_KIND = 99,
+	RECEIVED_MS = 100,
 };
 
 /* Fields 14 and 15, numbers, which this build does not know. */
@@ -89,9 +98,89 @@
 	g_free(packed);
 }
 
+/* Sends a probe to an instance as a later build may: a rumor of a kind that
+ * this one does not know, and a report with a field that it does not know. */
+static void send_later_probe(uint64_t fingerprint, char *server)
+{
+	struct sockaddr_in to = {.sin_family = AF_INET};
+	char *address = fixture_gateway_address(0, PEER_PORT);
+	ProtobufCMessageUnknownField unknown;
+	Rows__Datagram datagram = ROWS__DATAGRAM__INIT;
+	Rows__Probe probe = ROWS__PROBE__INIT;
+	Rows__Rumor rumor = ROWS__RUMOR__INIT;
+	Rows__Mark mark = ROWS__MARK__INIT;
+	Rows__Rumor *rumors = &rumor;
+	Rows__Mark *marks = &mark;
+	int len = sizeof(to);
+	uint8_t *packed;
+	size_t size;
+	int fd = socket(AF_INET, SOCK_DGRAM, 0);
+
+	assert_int_equal(evutil_parse_sockaddr_port(
+				 address, (struct sockaddr *)&to, &len),
+			 0);
+	set_unknown(&unknown, later_field);
+	rumor.id = "later";
+	rumor.kind = (Rows__Rumor__Kind)LATER_KIND;
+	mark.fingerprint = fingerprint;
+	mark.server = server;
+	mark.has_started_ms = true;
+	mark.started_ms = 1;
+	mark.has_crashed = true;
+	mark.crashed = true;
+	mark.base.n_unknown_fields = 1;
+	mark.base.unknown_fields = &unknown;
+	probe.id = "later";
+	probe.n_rumors = 1;
+	probe.rumors = &rumors;
+	probe.n_marks = 1;
+	probe.marks = &marks;
+	probe.base.n_unknown_fields = 1;
+	probe.base.unknown_fields = &unknown;
+	datagram.probe = &probe;
+	packed = msg_pack(&datagram.base, &size);
+	assert_int_equal(
+		sendto(fd, packed, size, 0, (struct sockaddr *)&to, sizeof(to)),
+		size);
+	close(fd);
+	g_free(packed);
+	g_free(address);
+}
+
+static int call(void)
+{
+	struct fixture_response response;
+	char *headers = g_strdup_printf(AUTH_HEADER "Request-Id: r%u\r\n",
+					fx.next_id++);
+	int status;
+
+	fixture_request(&response, 0, "/order/x", headers, "b");
+	status = response.status;
+	fixture_response_clear(&response);
+	g_free(headers);
+	return status;
+}
+
+/* What can be read of a datagram counts, whatever else is in it. */
+static void test_datagram_of_a_later_build(void **state)
+{
+	uint64_t fingerprint =
+		suspect_fingerprint("t1", "POST", "/order/x", "b", 1);
+	char *servers[] = {"gone1", "gone2", "gone3"};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(servers); i++)
+		send_later_probe(fingerprint, servers[i]);
+	fixture_run_until(NULL, RECEIVED_MS);
+	assert_true(fixture_is_ready(0));
+	assert_int_equal(call(), 503);
+	assert_int_equal(backend_received(fx.services[0]), 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		FIXTURE_TEST(test_datagram_of_a_later_build),
 		cmocka_unit_test(
 			test_fields_of_a_later_build_stay_in_the_budget),
 	};
