--- a/test/unit/test_crashing_request.c
+++ b/test/unit/test_crashing_request.c
@@ -232,13 +232,20 @@
 	run_until(crashes, NULL, RETRY_GAP_MS);
 }
 
+/* Starts the servers, and tries often. */
+static void check_tries(struct crashes *crashes, bool engines,
+			const char *method, const char *path)
+{
+	set_up_servers(crashes, engines);
+	try_often(crashes, TRIES, method, path);
+}
+
 static void test_crashing_post(void **state)
 {
 	struct crashes crashes = {.body = BODY};
 
 	(void)state;
-	set_up_servers(&crashes, false);
-	try_often(&crashes, TRIES, "POST", "/order/x");
+	check_tries(&crashes, false, "POST", "/order/x");
 }
 
 static void test_crashing_request_without_body(void **state)
@@ -246,8 +253,7 @@
 	struct crashes crashes = {.body = NULL};
 
 	(void)state;
-	set_up_servers(&crashes, false);
-	try_often(&crashes, TRIES, "GET", "/get/x");
+	check_tries(&crashes, false, "GET", "/get/x");
 }
 
 static void test_crash_in_a_stream(void **state)
@@ -255,8 +261,7 @@
 	struct crashes crashes = {.body = BODY, .how = BACKEND_CRASH_IN_STREAM};
 
 	(void)state;
-	set_up_servers(&crashes, true);
-	try_often(&crashes, TRIES, "POST", "/free/turn");
+	check_tries(&crashes, true, "POST", "/free/turn");
 }
 
 static void test_crash_of_servers_that_fall_silent(void **state)
@@ -264,8 +269,7 @@
 	struct crashes crashes = {.body = BODY, .is_silent = true};
 
 	(void)state;
-	set_up_servers(&crashes, false);
-	try_often(&crashes, TRIES, "POST", "/order/x");
+	check_tries(&crashes, false, "POST", "/order/x");
 }
 
 /* The new start refuses what is meant for the last one, whose entry is still in
@@ -293,8 +297,7 @@
 		.body = BODY, .is_silent = true, .is_left = true};
 
 	(void)state;
-	set_up_servers(&crashes, false);
-	try_often(&crashes, TRIES, "POST", "/order/x");
+	check_tries(&crashes, false, "POST", "/order/x");
 }
 
 static void test_crash_of_a_server_that_keeps_its_id(void **state)
@@ -302,8 +305,7 @@
 	struct crashes crashes = {.body = BODY, .keeps_id = true};
 
 	(void)state;
-	set_up_servers(&crashes, false);
-	try_often(&crashes, TRIES, "POST", "/order/x");
+	check_tries(&crashes, false, "POST", "/order/x");
 }
 
 /* Sends sound requests until instance 0 has its connections carried. */
