test_goaway: instance 0 loses the links to all servers, not to some

The log: only the services had been listed at the links that are cut, so a check of an engine, which instance 0 still reached, told it that no link is lost; each request then first failed to connect to one server and was carried to the other, and the callers' server changed from call to call. All calls were served.

All servers are listed at the links now, and the test goes on once a call is carried without a connection being tried, which it checks.

--- a/test/unit/test_goaway.c
+++ b/test/unit/test_goaway.c
@@ -300,19 +300,36 @@
 	assert_int_equal(backend_received(subject.backend), before);
 }
 
+/* Whether a call is carried at once: no connection of instance 0 was tried. */
+static bool is_carried(const struct subject *subject)
+{
+	uint64_t sent = stats_get(STATS_SENT);
+	uint64_t carried = stats_get(STATS_SENT_BY_TUNNEL);
+
+	return call(subject) == 200 && stats_get(STATS_SENT) == sent + 1 &&
+	       stats_get(STATS_SENT_BY_TUNNEL) == carried + 1;
+}
+
 static void wait_until_carried(const struct subject *subject)
 {
 	int64_t deadline_ms = clock_boot_ms() + CARRIED_MS;
+	bool carried = false;
 
-	while (call(subject) != 200 && clock_boot_ms() < deadline_ms)
+	while (!carried && clock_boot_ms() < deadline_ms) {
 		fixture_run_until(NULL, LIST_MS);
+		carried = is_carried(subject);
+	}
+	assert_true(carried);
 }
 
-/* Lists the services anew, which instance 0 then reaches over its links. */
+/* Lists the servers anew, which instance 0 then reaches over its links: all, or
+ * a check of one that it still reaches tells it that no link is lost. */
 static struct links *lose_links(void)
 {
 	struct links *links = links_open();
 
+	fixture_put_started("e1", "engines", ENGINE_1_ADDRESS, 2);
+	fixture_put_started("e2", "engines", ENGINE_2_ADDRESS, 2);
 	fixture_put_started("s1", "shop", SERVICE_1_ADDRESS, 2);
 	fixture_put_started("s2", "shop", SERVICE_2_ADDRESS, 2);
 	fixture_run_until(NULL, LIST_MS);
