--- a/review/rig-2/engine.c
+++ b/review/rig-2/engine.c
@@ -10,6 +10,8 @@
 	BODY_MAX_BYTES = 256 << 20,
 	HEADER_MAX_BYTES = 65536,
 	IDLE_MS = 60000,
+	SLOTS = 48,  /* requests that run at once */
+	QUEUE = 144, /* requests that wait beside them */
 };
 
 struct engine {
@@ -18,6 +20,8 @@
 	char *id;
 	struct engine_work work;
 	GPtrArray *runs;
+	guint running;
+	GQueue waiting; /* of struct stream */
 };
 
 struct stream {
@@ -25,7 +29,7 @@
 	struct inbound_request *request;
 	struct event *timer;
 	struct engine_work work;
-	int next;
+	int next; /* event; 0: the request waits */
 };
 
 static void run_free(gpointer p)
@@ -34,16 +38,23 @@
 
 	g_free(run->id);
 	g_free(run->account);
-	g_free(run->deadline);
-	g_bytes_unref(run->body);
 	g_free(run);
 }
 
+static void start_next(struct engine *engine);
+
 static void stream_free(struct stream *stream)
 {
+	struct engine *engine = stream->engine;
+
+	if (stream->next == 0)
+		g_queue_remove(&engine->waiting, stream);
+	else
+		engine->running--;
 	stream->request->user_data = NULL;
 	event_free(stream->timer);
 	g_free(stream);
+	start_next(engine);
 }
 
 static void schedule(struct stream *stream, int ms)
@@ -58,8 +69,9 @@
 	const char *id = hdr_get(stream->request->headers, "Request-Id");
 	char *headers = g_strdup_printf(
 		"Request-Id: %s\r\nResponse-Signature: sig-%s-%s\r\n"
-		"Content-Type: text/event-stream\r\nServer-Load: 1,0,32\r\n",
-		id ? id : "", stream->engine->id, id ? id : "");
+		"Content-Type: text/event-stream\r\nServer-Load: %u,%u,%d\r\n",
+		id ? id : "", stream->engine->id, id ? id : "",
+		stream->engine->running, stream->engine->waiting.length, SLOTS);
 
 	inbound_begin_reply(stream->request, 200, headers);
 	g_free(headers);
@@ -91,14 +103,15 @@
 	inbound_end_reply(request);
 }
 
-static void refuse(const struct engine *engine, struct inbound_request *request)
+static void refuse(const struct engine *engine, struct inbound_request *request,
+		   int status)
 {
 	const char *id = hdr_get(request->headers, "Request-Id");
 	char *headers = g_strdup_printf(
 		"Request-Id: %s\r\nInstance-Id: %s\r\nNot-Executed: 1\r\n",
 		id ? id : "", engine->id);
 
-	inbound_reply(request, 421, headers, NULL, 0);
+	inbound_reply(request, status, headers, NULL, 0);
 	g_free(headers);
 }
 
@@ -108,12 +121,26 @@
 
 	run->id = g_strdup(hdr_get(request->headers, "Request-Id"));
 	run->account = g_strdup(hdr_get(request->headers, "Tenant"));
-	run->deadline = g_strdup(hdr_get(request->headers, "Deadline-Ms"));
-	run->body = g_bytes_new(request->body->data, request->body->len);
 	run->at_ms = clock_boot_ms();
 	g_ptr_array_add(engine->runs, run);
 }
 
+static void start_next(struct engine *engine)
+{
+	struct stream *stream;
+
+	if (engine->running >= SLOTS)
+		return;
+	stream = g_queue_pop_head(&engine->waiting);
+	if (stream == NULL)
+		return;
+	engine->running++;
+	record(engine, stream->request);
+	stream->work = engine->work;
+	stream->next = 1;
+	schedule(stream, engine->work.first_ms);
+}
+
 static void on_request(void *arg, struct inbound_request *request)
 {
 	struct engine *engine = arg;
@@ -121,18 +148,20 @@
 	struct stream *stream;
 
 	if (target != NULL && strcmp(target, engine->id) != 0) {
-		refuse(engine, request);
+		refuse(engine, request, 421);
+		return;
+	}
+	if (engine->running >= SLOTS && engine->waiting.length >= QUEUE) {
+		refuse(engine, request, 503);
 		return;
 	}
-	record(engine, request);
 	stream = g_new0(struct stream, 1);
 	stream->engine = engine;
 	stream->request = request;
-	stream->work = engine->work;
-	stream->next = 1;
 	stream->timer = evtimer_new(engine->base, on_timer, stream);
 	request->user_data = stream;
-	schedule(stream, engine->work.first_ms);
+	g_queue_push_tail(&engine->waiting, stream);
+	start_next(engine);
 }
 
 static void on_disconnect(void *arg, struct inbound_request *request)
@@ -157,6 +186,7 @@
 
 	engine->base = base;
 	engine->id = g_strdup(id);
+	g_queue_init(&engine->waiting);
 	engine->work = (struct engine_work){3, 20, 20, 0};
 	engine->runs = g_ptr_array_new_with_free_func(run_free);
 	engine->inbound = inbound_create(base, address, &handler, engine);
--- a/review/rig-2/engine.h
+++ b/review/rig-2/engine.h
@@ -3,7 +3,8 @@
  * @brief Stand-in for a sound model server.
  *
  * It answers each request by a stream of events, whatever its path. A request
- * that names another server in Target-Instance gets 421.
+ * that names another server in Target-Instance gets 421. It runs 48 requests at
+ * once, lets 144 more wait and refuses the others, as on the sheet.
  */
 #ifndef REVIEW_ENGINE_H
 #define REVIEW_ENGINE_H
@@ -25,8 +26,6 @@
 struct engine_run {
 	char *id;
 	char *account;
-	char *deadline;
-	GBytes *body;
 	int64_t at_ms; /**< CLOCK_BOOTTIME */
 };
 
--- a/review/rig-2/rig2.c
+++ b/review/rig-2/rig2.c
@@ -294,7 +294,7 @@
 	static int64_t sequence;
 	char *row = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\","
-		"\"version\":\"v1\",\"slots\":32,\"state\":\"%s\","
+		"\"version\":\"v1\",\"slots\":48,\"state\":\"%s\","
 		"\"cold_left_ms\":0,\"sequence\":%" G_GINT64_FORMAT "}",
 		service, address, state, ++sequence);
 
