--- a/review/10/trial.c
+++ b/review/10/trial.c
@@ -1,9 +1,10 @@
 /**
  * @file trial.c
- * @brief A client account that was idle sends a batch through all gateways.
+ * @brief A chain of long turns that were all answered whole, and the next one.
  *
- * Each gateway then knows only of its own demand and admits up to the whole
- * burst, until the gateways have told each other of theirs.
+ * A program sends turns of a size that the configuration allows. Once the chain
+ * is longer than a gateway loads, each try of the next turn is refused, at both
+ * gateways and for good, while first turns of other programs are served.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,115 +12,118 @@
 
 #include "engine.h"
 #include "rig2.h"
-#include "serve/clock.h"
 
 enum {
-	GATEWAYS = 4,
-	ENGINES = 4,
-	RATE_PER_S = 30,
-	BURST = 150,
-	WINDOW_MS = 5000, /* quota_window_s */
-	SLACK = 20,	  /* quota_slack */
-	BATCH = 140,	  /* requests at each gateway */
-	IDLE_MS = 10000,
-	END_MS = 4500,
-	STEP_MS = 5,
+	GATEWAYS = 2,
+	ENGINES = 2,
+	TURNS = 7,	      /* of the program, as the sheet says */
+	LONG_BYTES = 4000000, /* below max_body_bytes */
+	USUAL_BYTES = 17000,
+	TRIES = 8, /* of a turn; the rule needs five */
+	TRIES_MIN = 5,
+	RETRY_MS = 400, /* longer than clients wait between tries */
+	ANSWER_MS = 4500,
+	SETTLE_MS = 4000, /* longer than contact_ms */
 };
 
-/* quota_overage, with what the limit itself counts as. */
-#define OVERAGE 1.1
-
 static const char route[] =
 	"{\"name\":\"r\",\"hostname\":\"h.example\",\"prefix\":\"/t/\","
-	"\"route_type\":\"unsafe\",\"timeout_ms\":1500,\"slo_ms\":150,"
-	"\"priority\":2,\"service\":\"m\",\"attempts\":1,\"retain\":false,"
-	"\"public\":false,\"session_affinity\":false,\"resumable\":false}";
+	"\"route_type\":\"stream\",\"timeout_ms\":4000,\"slo_ms\":250,"
+	"\"priority\":0,\"service\":\"m\",\"attempts\":2,\"retain\":true,"
+	"\"retention_s\":60.0,\"public\":false,\"session_affinity\":true,"
+	"\"resumable\":false,\"gap_target_ms\":300}";
 static const char service[] =
-	"{\"name\":\"m\",\"health_path\":\"/healthz\",\"max_conns\":1000,"
+	"{\"name\":\"m\",\"health_path\":\"/healthz\",\"max_conns\":300,"
 	"\"protocol\":\"h1\",\"tls\":false,\"cold_start_s\":0.0,"
-	"\"cold_per_s\":0.0}";
+	"\"cold_per_s\":0.0,\"engine\":{\"slots\":48,\"kv_capacity\":841052,"
+	"\"stride\":20}}";
+static const char tenant[] =
+	"{\"name\":\"t1\",\"api_keys\":[\"k1\"],\"priority\":1,"
+	"\"rate_per_s\":289,\"burst\":289}";
 
-static gint compare_times(gconstpointer a, gconstpointer b)
-{
-	int64_t x = *(const int64_t *)a;
-	int64_t y = *(const int64_t *)b;
+static char body[LONG_BYTES];
 
-	return (x > y) - (x < y);
+/* Sends one try of a turn; returns whether it was answered whole. */
+static bool try_turn(struct rig *rig, int gateway, const char *program,
+		     const char *previous, size_t len, char **id)
+{
+	char *headers = g_strdup_printf(
+		"Authorization: Bearer k1\r\nProgram-Id: %s\r\n"
+		"Session-Id: %s\r\nProgram-Deadline-Ms: 60000\r\n"
+		"Token-Budget: 4000\r\nToken-Usage: 1000,80\r\n"
+		"Deadline-Ms: 4000\r\n%s%s%s",
+		program, program, previous ? "Previous-Turn: " : "",
+		previous ? previous : "", previous ? "\r\n" : "");
+	struct rig_call *call = rig_request(rig, gateway, "POST", "/t/turn",
+					    headers, body, len, ANSWER_MS);
+	bool ok = call->done && call->whole && call->status == 200;
+
+	if (id != NULL)
+		*id = g_strdup(call->id);
+	rig_call_free(call);
+	g_free(headers);
+	return ok;
 }
 
-/* The most requests that ran in any window. */
-static guint count_window(struct engine *const engines[ENGINES])
+static guint count_runs(struct engine *const engines[ENGINES])
 {
-	GArray *times = g_array_new(FALSE, FALSE, sizeof(int64_t));
-	guint first = 0;
-	guint most = 0;
-
-	for (int i = 0; i < ENGINES; i++) {
-		const GPtrArray *runs = engine_runs(engines[i]);
-
-		for (guint k = 0; k < runs->len; k++) {
-			const struct engine_run *run =
-				g_ptr_array_index(runs, k);
+	guint runs = 0;
 
-			g_array_append_val(times, run->at_ms);
-		}
-	}
-	g_array_sort(times, compare_times);
-	for (guint last = 0; last < times->len; last++) {
-		while (g_array_index(times, int64_t, last) -
-			       g_array_index(times, int64_t, first) >=
-		       WINDOW_MS)
-			first++;
-		most = MAX(most, last - first + 1);
-	}
-	g_array_free(times, TRUE);
-	return most;
+	for (int i = 0; i < ENGINES; i++)
+		runs += engine_runs(engines[i])->len;
+	return runs;
 }
 
-/* Sends the batch, at once or at the account's rate. */
-static void send_batch(struct rig *rig, GPtrArray *calls)
+/* Sends a turn up to TRIES times, and between them first turns of other
+ * programs. Returns whether it reached a server. */
+static bool send_turn(struct rig *rig, struct engine *const engines[ENGINES],
+		      char **previous, size_t len, int turn, int *others)
 {
-	static const char headers[] = "Authorization: Bearer k1\r\n"
-				      "Deadline-Ms: 1500\r\n";
-	int64_t started_ms = clock_boot_ms();
-
-	for (int i = 0; i < BATCH * GATEWAYS; i++) {
-		int64_t due_ms = started_ms + (int64_t)i * 1000 / RATE_PER_S;
-
-		while (!rig->trouble && clock_boot_ms() < due_ms)
-			rig_run(rig, STEP_MS);
-		g_ptr_array_add(calls,
-				rig_send(rig, i % GATEWAYS, "POST", "/t/order",
-					 headers, "order", 5));
+	for (int i = 0; i < TRIES; i++) {
+		guint runs = count_runs(engines);
+		char *other = g_strdup_printf("other-%d-%d", turn, i);
+		char *id;
+		bool ok = try_turn(rig, (turn + i) % GATEWAYS, "program",
+				   *previous, len, &id);
+		bool reached = count_runs(engines) > runs;
+
+		if (ok) {
+			g_free(*previous);
+			*previous = id;
+			g_free(other);
+			return true;
+		}
+		g_free(id);
+		if (!reached)
+			*others += try_turn(rig, (turn + i) % GATEWAYS, other,
+					    NULL, USUAL_BYTES, NULL);
+		g_free(other);
+		if (reached)
+			return true;
+		rig_run(rig, RETRY_MS);
 	}
+	return false;
 }
 
 int main(int argc, char **argv)
 {
-	static const struct engine_work work = {1, 10, 0, 0};
 	struct engine *engines[ENGINES];
-	GPtrArray *calls = g_ptr_array_new();
-	double limit =
-		(RATE_PER_S * WINDOW_MS / 1000.0 + BURST) * OVERAGE + SLACK;
-	int whole = 0;
+	char *previous = NULL;
+	bool broken = false;
 	struct rig rig;
-	char *tenant;
-	guint most;
+	size_t len;
 
 	if (argc < 2)
 		return 2;
 	rig_open(&rig, argv[1]);
-	tenant = g_strdup_printf("{\"name\":\"t1\",\"api_keys\":[\"k1\"],"
-				 "\"priority\":1,\"rate_per_s\":%d,"
-				 "\"burst\":%d}",
-				 RATE_PER_S, BURST);
+	len = rig.trouble ? LONG_BYTES : USUAL_BYTES;
+	memset(body, 'a', sizeof(body));
 	rig_put_config(&rig, 1, route, service, tenant);
 	for (int i = 0; i < ENGINES; i++) {
 		char *id = g_strdup_printf("e%d", i);
 		char *address = rig_address(&rig, 51 + i, 0);
 
 		engines[i] = engine_create(rig.base, address, id);
-		engine_set_work(engines[i], &work);
 		rig_put_server(&rig, id, "m", address, "ready");
 		g_free(address);
 		g_free(id);
@@ -127,25 +131,22 @@
 	for (int i = 0; i < GATEWAYS; i++)
 		rig_start_gateway(&rig, i);
 	rig_wait_ready(&rig);
-	rig_run(&rig, IDLE_MS);
-	send_batch(&rig, calls);
-	rig_run(&rig, END_MS);
-	for (guint i = 0; i < calls->len; i++) {
-		struct rig_call *call = g_ptr_array_index(calls, i);
-
-		whole += call->status == 200 && call->whole;
-		rig_call_free(call);
+	rig_run(&rig, SETTLE_MS);
+	for (int turn = 1; turn <= TURNS && !broken; turn++) {
+		int others = 0;
+
+		if (send_turn(&rig, engines, &previous, len, turn, &others))
+			continue;
+		rig_note(&rig,
+			 "turn %d reached no server in %d tries; %d of %d "
+			 "first turns did",
+			 turn, TRIES, others, TRIES);
+		broken = TRIES >= TRIES_MIN && others * 10 >= TRIES * 9;
 	}
-	g_ptr_array_free(calls, TRUE);
-	most = count_window(engines);
-	rig_note(&rig,
-		 "%d requests, %d answered 200; at most %u ran in %d ms; the "
-		 "rule allows %.0f",
-		 BATCH * GATEWAYS, whole, most, WINDOW_MS, limit);
-	rig_note(&rig, "rule %s", most > limit ? "broken" : "held");
+	rig_note(&rig, "rule %s", broken ? "broken" : "held");
+	g_free(previous);
 	for (int i = 0; i < ENGINES; i++)
 		engine_destroy(engines[i]);
 	rig_close(&rig);
-	g_free(tenant);
-	return most > limit ? 1 : 0;
+	return broken ? 1 : 0;
 }
--- a/review/rig-2/engine.c
+++ b/review/rig-2/engine.c
@@ -1,4 +1,6 @@
 /** @file engine.c @brief Stand-in for a sound model server. */
+#include <stdbool.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "engine.h"
@@ -10,8 +12,9 @@
 	BODY_MAX_BYTES = 256 << 20,
 	HEADER_MAX_BYTES = 65536,
 	IDLE_MS = 60000,
-	SLOTS = 48,  /* requests that run at once */
-	QUEUE = 144, /* requests that wait beside them */
+	SLOTS = 48,		 /* requests that run at once */
+	QUEUE = 144,		 /* requests that wait beside them */
+	BODY_KEPT_BYTES = 65536, /* in the list of runs */
 };
 
 struct engine {
@@ -29,7 +32,8 @@
 	struct inbound_request *request;
 	struct event *timer;
 	struct engine_work work;
-	int next; /* event; 0: the request waits */
+	int next;   /* event; 0: the request waits */
+	bool began; /* the head has been sent */
 };
 
 static void run_free(gpointer p)
@@ -38,6 +42,7 @@
 
 	g_free(run->id);
 	g_free(run->account);
+	g_free(run->body);
 	g_free(run);
 }
 
@@ -85,11 +90,12 @@
 
 	(void)fd;
 	(void)what;
-	if (stream->next == 1)
+	if (!stream->began)
 		send_head(stream);
+	stream->began = true;
 	event = g_string_new(NULL);
-	g_string_printf(event, "id: %d\ndata: %s-%d", stream->next,
-			stream->engine->id, stream->next);
+	g_string_printf(event, "id: %d\ndata: " ENGINE_DATA, stream->next,
+			stream->next);
 	for (gsize i = 0; i < stream->work.padding; i++)
 		g_string_append_c(event, 'x');
 	g_string_append(event, "\n\n");
@@ -122,9 +128,19 @@
 	run->id = g_strdup(hdr_get(request->headers, "Request-Id"));
 	run->account = g_strdup(hdr_get(request->headers, "Tenant"));
 	run->at_ms = clock_boot_ms();
+	if (request->body->len <= BODY_KEPT_BYTES)
+		run->body = g_strndup((const char *)request->body->data,
+				      request->body->len);
 	g_ptr_array_add(engine->runs, run);
 }
 
+static int last_event_id(const struct inbound_request *request)
+{
+	const char *id = hdr_get(request->headers, "Last-Event-Id");
+
+	return id != NULL ? atoi(id) : 0;
+}
+
 static void start_next(struct engine *engine)
 {
 	struct stream *stream;
@@ -137,7 +153,7 @@
 	engine->running++;
 	record(engine, stream->request);
 	stream->work = engine->work;
-	stream->next = 1;
+	stream->next = last_event_id(stream->request) + 1;
 	schedule(stream, engine->work.first_ms);
 }
 
--- a/review/rig-2/engine.h
+++ b/review/rig-2/engine.h
@@ -12,6 +12,10 @@
 #include <event2/event.h>
 #include <glib.h>
 
+/** Data of an event, with its number: the same at each server, so that another
+ * one can go on with a stream after Last-Event-Id. */
+#define ENGINE_DATA "piece-%d"
+
 struct engine;
 
 /** What a server does with each request. */
@@ -26,6 +30,7 @@
 struct engine_run {
 	char *id;
 	char *account;
+	char *body;    /**< NULL: a long one */
 	int64_t at_ms; /**< CLOCK_BOOTTIME */
 };
 
