turns: a history is read while it is sent, so chains have no maximum

Cause: a history was joined in memory before it was sent, and refused for good beyond load_kb (16 MB), though each of its turns had been committed.

Ruled out: the store (all rows are there), its limit on transactions (texts are written in pieces), the server (it takes the body). A higher load_kb moves the refusal only.

Change: finding a history takes links and lengths; texts are kept as far as load_kb goes, each once for all turns that continue it, and the others are read from the store while the request is written. Large pages are read three at a time, and again if one fails while the store responds. A long history of another program is referred to, and that program's expiry extended, instead of copied.

Related paths looked at: outputs, second sends and resumed streams (the body is read again), silent servers (their time stops while the store is read), the store away within a body (503: not run), the cache (kept one turn of any size), copies of bodies and texts (shared with the connection, built in place).

--- a/proto/rows.pb-c.c
+++ b/proto/rows.pb-c.c
@@ -1086,7 +1086,7 @@
   (ProtobufCMessageInit) rows__program__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rows__turn__field_descriptors[3] =
+static const ProtobufCFieldDescriptor rows__turn__field_descriptors[4] =
 {
   {
     "previous",
@@ -1124,8 +1124,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "length",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Rows__Turn, has_length),
+    offsetof(Rows__Turn, length),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rows__turn__field_indices_by_name[] = {
+  3,   /* field[3] = length */
   2,   /* field[2] = pieces */
   0,   /* field[0] = previous */
   1,   /* field[1] = text */
@@ -1133,7 +1146,7 @@
 static const ProtobufCIntRange rows__turn__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor rows__turn__descriptor =
 {
@@ -1143,7 +1156,7 @@
   "Rows__Turn",
   "rows",
   sizeof(Rows__Turn),
-  3,
+  4,
   rows__turn__field_descriptors,
   rows__turn__field_indices_by_name,
   1,  rows__turn__number_ranges,
--- a/proto/rows.pb-c.h
+++ b/proto/rows.pb-c.h
@@ -108,10 +108,15 @@
    * number of further rows that hold the remaining parts
    */
   uint32_t pieces;
+  /*
+   * bytes of the whole text; absent: written by an earlier build
+   */
+  protobuf_c_boolean has_length;
+  uint64_t length;
 };
 #define ROWS__TURN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rows__turn__descriptor) \
-    , NULL, {0,NULL}, 0 }
+    , NULL, {0,NULL}, 0, 0, 0 }
 
 
 /*
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -30,6 +30,7 @@
 
 void exch_cancel_upstream(struct exch *x)
 {
+	g_clear_pointer(&x->reader, turns_reader_destroy);
 	if (x->upstream != NULL)
 		upstream_cancel(x->upstream);
 	x->upstream = NULL;
@@ -76,6 +77,8 @@
 		g_byte_array_unref(x->buffered);
 	if (x->turn_output != NULL)
 		g_string_free(x->turn_output, TRUE);
+	if (x->turn_text != NULL)
+		g_bytes_unref(x->turn_text);
 	splitter_destroy(x->splitter);
 	g_free(x->version);
 	cat_unref(x->catalog);
@@ -169,7 +172,8 @@
 		exch_send(x);
 		return;
 	}
-	if (x->held.paused) {
+	if (x->held.paused ||
+	    (x->reader != NULL && turns_reader_is_waiting(x->reader))) {
 		exch_arm_silence_timer(x);
 		return;
 	}
@@ -200,11 +204,9 @@
 		exch_fail(x, "out of time", 504);
 }
 
-static void on_turn_verdict(void *arg, enum turns_verdict verdict,
-			    const GByteArray *history)
+static void on_turn_verdict(void *arg, enum turns_verdict verdict)
 {
 	struct exch *x = arg;
-	GByteArray *body;
 
 	switch (verdict) {
 	case TURNS_OVER_BUDGET:
@@ -220,17 +222,6 @@
 	case TURNS_ALLOWED:
 		break;
 	}
-	if (history->len > 0) {
-		body = g_byte_array_sized_new(history->len +
-					      x->request->body->len);
-		g_byte_array_append(body, history->data, history->len);
-		g_byte_array_append(body, x->request->body->data,
-				    x->request->body->len);
-		g_bytes_unref(x->body);
-		x->body = g_byte_array_free_to_bytes(body);
-		turns_drop_history(x->turn);
-		exch_note_memory(x);
-	}
 	if (turns_has_stalled(x->turn))
 		exch_send_checked(x);
 	else
@@ -481,9 +472,10 @@
 			    splitter_pending(x->splitter) +
 			    (x->headers ? x->headers->allocated_len : 0) +
 			    inbound_unsent(x->request);
+	uint64_t text = x->turn_text ? g_bytes_get_size(x->turn_text) : 0;
 
-	mem_set(&x->held, response + g_bytes_get_size(x->body),
-		x->upstream_complete ? 0 : response);
+	/* The body is held by its connection. */
+	mem_set(&x->held, response + text, x->upstream_complete ? 0 : response);
 }
 
 static void on_set_reading(struct mem_holder *holder, bool reading)
@@ -537,11 +529,9 @@
 /* Allocates what the request holds while it is served. */
 void exch_hold(struct exch *x)
 {
-	const GByteArray *body = x->request->body;
-
 	if (x->body != NULL)
 		return;
-	x->body = g_bytes_new(body->data, body->len);
+	x->body = inbound_share_body(x->request);
 	x->tried_servers = g_ptr_array_new_with_free_func(g_free);
 	x->interrupted_servers = g_ptr_array_new_with_free_func(g_free);
 	x->used_conns = g_array_new(FALSE, FALSE, sizeof(uint64_t));
--- a/serve/exchange_int.h
+++ b/serve/exchange_int.h
@@ -6,7 +6,8 @@
  * decides whether it starts while servers are overloaded, exchange_pick.c
  * selects a backend server for it, exchange_limit.c keeps to the rate limit of
  * that server, exchange_refusal.c records servers that refuse requests,
- * exchange_send.c sends it there and relays the response, exchange_retry.c
+ * exchange_send.c sends it there and relays the response, exchange_body.c
+ * writes the history before its input, exchange_retry.c
  * decides what becomes of it without a server or an answer, and
  * exchange_outage.c lets it wait for a current configuration or contact.
  */
@@ -48,7 +49,7 @@
 	int64_t refusal_wait_ms; /* until a refusing server may get it */
 	uint64_t fingerprint;
 	bool is_trial; /* refused, but it may run once more */
-	GBytes *body;  /* as sent to the backend server */
+	GBytes *body;  /* as the caller sent it */
 
 	struct turns_turn *turn;
 	bool tokens_granted;  /* output may be passed to the caller */
@@ -63,6 +64,7 @@
 	struct fleet_server *server;
 	GArray *used_conns; /* see upstream_request */
 	struct upstream_call *upstream;
+	struct turns_reader *reader; /* of the history being sent, or NULL */
 	char *tunnel;	  /* instance that carries the attempt; NULL: none */
 	bool link_failed; /* a server could not be connected to directly */
 	struct response response;
@@ -82,6 +84,7 @@
 	bool streaming;
 	struct splitter *splitter;
 	GString *turn_output; /* data of all events, for the history */
+	GBytes *turn_text;    /* input and output, once it is complete */
 	int64_t last_event_id;
 	uint64_t tokens_used;
 	bool upstream_complete; /* the server's response is complete */
@@ -106,6 +109,13 @@
 /** Whether the deployment asks for placement by work and for admission under
  * overload. */
 bool exch_manages_overload(const struct exch *x);
+/** Returns the length of the body as sent to a backend server: the history of
+ * the turn and what the caller sent. */
+uint64_t exch_body_size(const struct exch *x);
+/** Begins to write a body with a history to the server. */
+void exch_write_body(struct exch *x);
+/** Writes the next pieces of the body. */
+void exch_continue_body(void *arg);
 /** Cancels the attempt in progress, if any. */
 void exch_cancel_upstream(struct exch *x);
 /** Frees an exchange that has been answered or abandoned by its caller. */
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -55,9 +55,6 @@
  * gets the end of the stream. */
 static void complete_stream(struct exch *x)
 {
-	GByteArray *text;
-	GBytes *bytes;
-
 	if (!is_output_allowed(x))
 		return;
 	flush_output(x);
@@ -65,14 +62,16 @@
 		finish_stream(x);
 		return;
 	}
-	text = g_byte_array_new();
-	g_byte_array_append(text, x->request->body->data,
-			    x->request->body->len);
-	g_byte_array_append(text, (const guint8 *)x->turn_output->str,
-			    (guint)x->turn_output->len);
-	bytes = g_byte_array_free_to_bytes(text);
-	turns_commit(x->turn, bytes, x->tokens_used);
-	g_bytes_unref(bytes);
+	g_string_prepend_len(x->turn_output,
+			     (const char *)x->request->body->data,
+			     x->request->body->len);
+	x->turn_text = g_string_free_to_bytes(x->turn_output);
+	x->turn_output = g_string_new(NULL);
+	g_bytes_unref(x->body);
+	x->body = g_bytes_new(NULL, 0);
+	inbound_drop_body(x->request);
+	exch_note_memory(x);
+	turns_commit(x->turn, x->turn_text, x->tokens_used);
 }
 
 void exch_on_turn_committed(void *arg)
@@ -317,6 +316,8 @@
 		return;
 	x->status = head->status;
 	x->headers = wire_build_response(head);
+	if (x->turn != NULL && x->reader == NULL)
+		turns_release_history(x->turn);
 	exch_note_memory(x);
 	x->streaming = x->response.event_stream && head->status == 200 &&
 		       x->route->kind == CAT_STREAM;
@@ -419,6 +420,7 @@
 	struct exch *x = arg;
 
 	x->upstream = NULL;
+	g_clear_pointer(&x->reader, turns_reader_destroy);
 	event_del(x->timer);
 	if (result == UPSTREAM_COMPLETE && x->streaming &&
 	    splitter_pending(x->splitter) > 0)
@@ -437,6 +439,7 @@
 
 static const struct upstream_handler server_handler = {
 	.connected = on_connected,
+	.writable = exch_continue_body,
 	.head = on_head,
 	.body = on_body,
 	.end = on_end,
@@ -555,10 +558,13 @@
 		.last_event_id = x->last_event_id,
 		.priority = server_priority(x),
 	};
+	uint64_t body_len = exch_body_size(x);
+	bool has_history = body_len > g_bytes_get_size(x->body);
 	struct upstream_request request = {
 		.address = server->address,
 		.idle = server->idle,
-		.body = x->body,
+		.body = has_history ? NULL : x->body,
+		.more_body = has_history,
 		.id_name = WIRE_REQUEST_ID_HEADER,
 		.id = x->call.id,
 		.used_conns = x->used_conns,
@@ -587,9 +593,10 @@
 	stats_count(STATS_SENT);
 	log_send(x, now_ms, forward.deadline_ms);
 	log_load(x, now_ms);
-	request.head = wire_build_request(x->request, &forward,
-					  g_bytes_get_size(x->body));
+	request.head = wire_build_request(x->request, &forward, body_len);
 	x->upstream = upstream_send(x->shared->upstream, &request,
 				    &server_handler, x);
+	if (has_history)
+		exch_write_body(x);
 	exch_arm_silence_timer(x);
 }
--- a/serve/inbound.c
+++ b/serve/inbound.c
@@ -58,13 +58,20 @@
 	mem_set(&conn->held, CONN_BYTES + request + input + output, growing);
 }
 
-/* Frees what a request that has ended has taken. */
-static void drop_request(struct inbound_conn *conn)
+static void drop_body(struct inbound_conn *conn)
 {
-	if (conn->body->len > KEPT_BYTES) {
+	if (conn->body->len > KEPT_BYTES || conn->body_shared) {
 		g_byte_array_unref(conn->body);
 		conn->body = g_byte_array_new();
 	}
+	conn->body_shared = false;
+	g_byte_array_set_size(conn->body, 0);
+}
+
+/* Frees what a request that has ended has taken. */
+static void drop_request(struct inbound_conn *conn)
+{
+	drop_body(conn);
 	if (conn->target->allocated_len > KEPT_BYTES) {
 		g_string_free(conn->target, TRUE);
 		conn->target = g_string_new(NULL);
@@ -73,7 +80,6 @@
 		g_array_unref(conn->headers);
 		conn->headers = hdr_create();
 	}
-	g_byte_array_set_size(conn->body, 0);
 	conn->header = (struct header_meter){0};
 }
 
@@ -662,6 +668,28 @@
 		evbuffer_add(out, "\r\n", 2);
 }
 
+static void release_body(gpointer body)
+{
+	g_byte_array_unref(body);
+}
+
+GBytes *inbound_share_body(struct inbound_request *request)
+{
+	struct inbound_conn *conn = request->conn;
+
+	conn->body_shared = true;
+	return g_bytes_new_with_free_func(conn->body->data, conn->body->len,
+					  release_body,
+					  g_byte_array_ref(conn->body));
+}
+
+void inbound_drop_body(struct inbound_request *request)
+{
+	drop_body(request->conn);
+	request->body = request->conn->body;
+	note_memory(request->conn);
+}
+
 size_t inbound_unsent(const struct inbound_request *request)
 {
 	return evbuffer_get_length(bufferevent_get_output(request->conn->bev));
--- a/serve/inbound.h
+++ b/serve/inbound.h
@@ -95,6 +95,11 @@
 /** Sends part of such a response. */
 void inbound_send_chunk(struct inbound_request *request, const void *data,
 			size_t len);
+/** Returns the body of a request, without a copy, to be used for as long as the
+ * caller likes; g_bytes_unref() it. */
+GBytes *inbound_share_body(struct inbound_request *request);
+/** Frees the body of a request that is not needed any more. */
+void inbound_drop_body(struct inbound_request *request);
 /** Bytes of the response that are still to be sent. */
 size_t inbound_unsent(const struct inbound_request *request);
 /** Ends such a response and frees the request. */
--- a/serve/inbound_int.h
+++ b/serve/inbound_int.h
@@ -53,6 +53,7 @@
 	GString *target;
 	GArray *headers;
 	GByteArray *body;
+	bool body_shared; /* see inbound_share_body() */
 	struct header_meter header;
 	bool in_name;	  /* the last part of the header was of a name */
 	int error_status; /* HTTP status for an invalid request, or 0 */
--- a/serve/turns.c
+++ b/serve/turns.c
@@ -139,6 +139,7 @@
 		event_new(base, -1, EV_PERSIST, on_eviction_timer, turns);
 	event_add(turns->eviction_timer, &tv);
 	turns_init_stalls(turns);
+	CDS_INIT_LIST_HEAD(&turns->pages);
 	return turns;
 }
 
@@ -195,8 +196,7 @@
 	turns_leave_stalled(turn);
 	turn->decided = true;
 	turn->waiting = false;
-	turn->handler->decided(turn->arg, verdict,
-			       verdict == TURNS_ALLOWED ? turn->history : NULL);
+	turn->handler->decided(turn->arg, verdict);
 }
 
 /* Grants the tokens of turns that the cap of this instance covers. */
@@ -266,8 +266,8 @@
 	turn->writing = false;
 	turn->committed = true;
 	hist_put(turn->program->turns->history, turn->key,
-		 turn->foreign_history ? "" : turn->previous,
-		 turn->program->key, turn->text, clock_boot_ms());
+		 turn->copies_history ? "" : turn->previous, turn->program->key,
+		 turn->text, clock_boot_ms());
 	g_bytes_unref(turn->text);
 	turn->text = NULL;
 	stats_count(STATS_TURNS_KEPT);
@@ -513,7 +513,7 @@
 	turn->waiting = false;
 	if (turn->granted)
 		turn->handler->granted(turn->arg);
-	turn->handler->decided(turn->arg, TURNS_ALLOWED, turn->history);
+	turn->handler->decided(turn->arg, TURNS_ALLOWED);
 }
 
 void turns_begin(struct turns *turns, const struct turns_request *request,
@@ -539,7 +539,6 @@
 	turn->started_ms = clock_boot_ms();
 	turn->handler = handler;
 	turn->arg = arg;
-	turn->history = g_byte_array_new();
 	turn->loads = g_ptr_array_new_with_free_func(turns_load_free);
 	cds_list_add_tail(&turn->node, &turn->program->active_turns);
 	*slot = turn;
@@ -566,35 +565,39 @@
 	turn->settled = true;
 }
 
-/*
- * Copies the history of another program into a turn that continues it, since
- * the rows of the two programs expire at different times.
- */
+/* Returns the text of a turn with a copy of its history before it. */
 static GBytes *prepend_history(const struct turns_turn *turn, GBytes *text)
 {
 	GByteArray *joined = g_byte_array_new();
-	gsize len;
-	const uint8_t *data = g_bytes_get_data(text, &len);
+	struct hist_turn part;
 
-	g_byte_array_append(joined, turn->history->data, turn->history->len);
-	g_byte_array_append(joined, data, (guint)len);
+	for (guint i = 0; i < hist_chain_count(turn->chain); i++) {
+		hist_chain_get(turn->chain, i, &part);
+		g_byte_array_append(joined, g_bytes_get_data(part.text, NULL),
+				    (guint)part.len);
+	}
+	g_byte_array_append(joined, g_bytes_get_data(text, NULL),
+			    (guint)g_bytes_get_size(text));
 	return g_byte_array_free_to_bytes(joined);
 }
 
 void turns_commit(struct turns_turn *turn, GBytes *text, uint64_t used)
 {
 	settle_budget(turn, used);
-	turn->text = turn->foreign_history ? prepend_history(turn, text)
-					   : g_bytes_ref(text);
+	turn->text = turn->copies_history ? prepend_history(turn, text)
+					  : g_bytes_ref(text);
 	program_flush(turn->program);
 }
 
-void turns_drop_history(struct turns_turn *turn)
+uint64_t turns_history_size(const struct turns_turn *turn)
 {
-	if (turn->foreign_history)
-		return;
-	g_byte_array_unref(turn->history);
-	turn->history = g_byte_array_new();
+	return turn->chain != NULL ? hist_chain_size(turn->chain) : 0;
+}
+
+void turns_release_history(struct turns_turn *turn)
+{
+	if (turn->chain != NULL && !turn->copies_history)
+		hist_chain_release(turn->chain);
 }
 
 bool turns_store_version(struct turns_turn *turn, const char *version,
@@ -615,9 +618,8 @@
 	turn->program->last_used_ms = clock_boot_ms();
 	turns_leave_stalled(turn);
 	cds_list_del(&turn->node);
-	turns_cancel_loads(turn);
 	g_ptr_array_free(turn->loads, TRUE);
-	g_byte_array_unref(turn->history);
+	hist_chain_destroy(turn->chain);
 	if (turn->text != NULL)
 		g_bytes_unref(turn->text);
 	g_free(turn->version);
--- a/serve/turns.h
+++ b/serve/turns.h
@@ -44,10 +44,9 @@
 
 /** Callbacks of a turn; may be called before turns_begin() returns. */
 struct turns_handler {
-	/** The verdict; @p history goes before the input (TURNS_ALLOWED only).
-	 * After any other verdict the turn only waits for turns_end(). */
-	void (*decided)(void *arg, enum turns_verdict verdict,
-			const GByteArray *history);
+	/** The verdict. After any other one than TURNS_ALLOWED the turn only
+	 * waits for turns_end(). */
+	void (*decided)(void *arg, enum turns_verdict verdict);
 	/** Its tokens may be passed to the caller; may precede the verdict. */
 	void (*granted)(void *arg);
 	/** It is committed to the store. */
@@ -72,7 +71,7 @@
 
 /**
  * @param cache_bytes maximum size of the cache of turns
- * @param load_bytes  maximum size of the histories that are being loaded
+ * @param load_bytes  maximum size of the histories of all turns in memory
  */
 struct turns *turns_create(struct event_base *base, struct store *store,
 			   uint64_t cache_bytes, uint64_t load_bytes);
@@ -92,9 +91,33 @@
 /** Returns for how long the store has not responded to a turn's calls; 0: it
  * responds. */
 int64_t turns_outage_ms(const struct turns_turn *turn);
-/** Frees the history that the handler was given, if it has been copied and is
- * not needed to commit the turn. */
-void turns_drop_history(struct turns_turn *turn);
+/** Returns the length of the history that goes before the input of a turn that
+ * is allowed. */
+uint64_t turns_history_size(const struct turns_turn *turn);
+/** Frees the history in memory if it is not needed to commit the turn; it can
+ * still be read. */
+void turns_release_history(struct turns_turn *turn);
+
+/** Reads the history of a turn that is allowed, in order, in pieces: from
+ * memory, or from the store what there was no room for. */
+struct turns_reader;
+/** Says that turns_reader_next() may be called again; @p ok is false if the
+ * history can't be read on. */
+typedef void turns_ready_fn(void *arg, bool ok);
+/** What there is to be read. */
+enum turns_read {
+	TURNS_READ_PIECE, /**< a piece; g_bytes_unref() it */
+	TURNS_READ_WAIT,  /**< the store is being read */
+	TURNS_READ_END,
+};
+/** The turn must not be ended before the reader is destroyed. */
+struct turns_reader *turns_reader_create(struct turns_turn *turn,
+					 turns_ready_fn *ready, void *arg);
+void turns_reader_destroy(struct turns_reader *reader);
+enum turns_read turns_reader_next(struct turns_reader *reader, GBytes **piece);
+/** Whether the store is being read. */
+bool turns_reader_is_waiting(const struct turns_reader *reader);
+
 /** Commits a turn that used @p used tokens; @p text is its input and output. */
 void turns_commit(struct turns_turn *turn, GBytes *text, uint64_t used);
 /**
--- a/serve/turns_int.h
+++ b/serve/turns_int.h
@@ -3,8 +3,11 @@
  * @brief Internal interface between the turns*.c files and the sweeper.
  *
  * turns.c decides about turns, turns_write.c builds the transactions that store
- * them, turns_load.c reads history, turns_version.c the versions of streams,
- * and turns_stall.c keeps turns that wait until the store responds.
+ * them, turns_load.c finds the history of a turn, turns_keep.c keeps the
+ * programs that hold it from being removed, turns_read.c reads it in order,
+ * turns_page.c bounds how much is read at a time,
+ * turns_version.c the versions of streams, and turns_stall.c keeps turns that
+ * wait until the store responds.
  */
 #ifndef APS_TURNS_INT_H
 #define APS_TURNS_INT_H
@@ -76,7 +79,8 @@
 	struct hist *history;
 	struct event *eviction_timer;
 	struct cds_list_head stalled_turns;
-	struct event *stall_timer; /* while there are any */
+	struct event *stall_timer;  /* while there are any */
+	struct cds_list_head pages; /* being read, or waiting for that */
 	bool (*is_cut_off)(void *arg, int64_t outage_ms); /* or NULL */
 	void *cut_off_arg;
 };
@@ -87,9 +91,14 @@
 	LOAD_PROGRAM, /* reading the rows of its own program */
 	LOAD_SEARCH,  /* reading the index in each part of the account */
 	LOAD_OWNER,   /* reading the rows of another program */
+	LOAD_TEXTS,   /* reading rows of a program again */
+	LOAD_KEEP,    /* extending the expiry of other programs */
 	LOAD_DONE,
 };
 
+/** A page of rows that is read, or waits for that. */
+struct turns_page;
+
 /** A turn of which some rows have been read. */
 struct partial_turn;
 
@@ -97,8 +106,10 @@
 struct load {
 	struct turns_turn *turn;
 	struct store_call *call;
+	struct turns_page *page;
 	struct partial_turn *partial;
 	char owner[KEY_LEN]; /* program being read; "" for the index */
+	guint tries;	     /* to extend its expiry */
 };
 
 /** One turn in progress. */
@@ -113,16 +124,15 @@
 	int64_t started_ms;
 	const struct turns_handler *handler;
 	void *arg;
-	GByteArray *history;
-	bool foreign_history; /* all or part of it is another program's */
 	enum load_state load_state;
-	struct hist_chain *chain; /* while its history is loaded */
-	bool read_again;  /* the rows of the program, now that it is known which
-			   * turns are needed */
-	GPtrArray *loads; /* of struct load */
+	struct hist_chain *chain; /* its history, once it continues a turn */
+	bool texts_read;	  /* LOAD_TEXTS has been reached */
+	bool copies_history; /* another program's, to be stored with the turn */
+	bool owner_expired;  /* a program that holds the history is removed */
+	GPtrArray *loads;    /* of struct load */
 	bool load_failed;
-	char found_owner[KEY_LEN]; /* as named by the index */
-	char missing_turn[KEY_LEN];
+	char found_owner[KEY_LEN];   /* as named by the index */
+	char searched_turn[KEY_LEN]; /* in the index */
 	bool decided;
 	bool waiting; /* for the budget row or a higher cap */
 	bool stalled; /* waits for the store to respond; in stalled_turns */
@@ -190,11 +200,25 @@
 /** Builds the transaction with all pending rows of a program and its cap. */
 struct store_tx *turns_build_tx(struct program *program, uint64_t cap);
 
-/** Loads a turn's history; returns true once it is complete. */
+/** Finds a turn's history; returns true once that is done. */
 bool turns_load_history(struct turns_turn *turn);
-/** Cancels all reads of a turn, and frees what has been read. */
-void turns_cancel_loads(struct turns_turn *turn);
+/** Keeps other programs that hold a turn's history from being removed; returns
+ * true if it has begun to, and the turn goes on later. */
+bool turns_keep_owners(struct turns_turn *turn);
+/** Adds a read of the rows of program @p owner, or of the index: "". */
+struct load *turns_add_load(struct turns_turn *turn, const char *owner);
+/** Ends a read; @p ok is false if the store can't be read. */
+void turns_finish_load(struct load *load, bool ok);
+/** Reads the rows of program @p owner in a range of keys, as soon as few others
+ * are being read; a read that fails is repeated while the store responds. */
+struct turns_page *turns_read_page(struct turns *turns, const char *owner,
+				   const char *from, const char *to,
+				   store_done_fn *done, void *arg);
+void turns_cancel_page(struct turns_page *page);
 /** Frees a struct load. */
 void turns_load_free(gpointer p);
+/** Writes the end of the key range of a turn's rows, HEAD_KEY_LEN + 2 bytes;
+ * its head row is at the start, "PROGRAM/TURN". */
+void turns_rows_end(const char *owner, const char *turn_key, char *end);
 
 #endif
--- a/serve/turns_load.c
+++ b/serve/turns_load.c
@@ -5,27 +5,30 @@
 #include "slog.h"
 #include "turns_int.h"
 
-static void finish_load(struct load *load, bool ok);
-
-void turns_cancel_loads(struct turns_turn *turn)
-{
-	g_ptr_array_set_size(turn->loads, 0);
-	g_clear_pointer(&turn->chain, hist_chain_destroy);
-}
-
 /* The head of a turn has been read; further pieces of its text are missing. */
 struct partial_turn {
+	struct hist *history;
 	char key[KEY_LEN];
 	char previous[KEY_LEN];
-	GByteArray *text;
+	GByteArray *text;  /* NULL: there is no room for it */
+	uint64_t reserved; /* in the history, for the text */
+	uint64_t len;	   /* of the text as far as it has been read */
+	uint64_t total;	   /* of the whole text; 0: unknown */
 	uint32_t missing_pieces;
 };
 
+static void drop_text(struct partial_turn *partial)
+{
+	hist_release(partial->history, partial->reserved);
+	partial->reserved = 0;
+	g_clear_pointer(&partial->text, g_byte_array_unref);
+}
+
 static void partial_free(struct partial_turn *partial)
 {
 	if (partial == NULL)
 		return;
-	g_byte_array_unref(partial->text);
+	drop_text(partial);
 	g_free(partial);
 }
 
@@ -35,20 +38,52 @@
 
 	if (load->call != NULL)
 		store_cancel(load->call);
+	if (load->page != NULL)
+		turns_cancel_page(load->page);
 	partial_free(load->partial);
 	g_free(load);
 }
 
-/* Adds a completely read turn to the chain that is loaded. */
+/* Reserves room for the text up to @p len bytes, or drops it. */
+static void reserve(struct partial_turn *partial, uint64_t len)
+{
+	uint64_t more;
+
+	if (partial->text == NULL || len <= partial->reserved)
+		return;
+	more = len - partial->reserved;
+	if (hist_reserve(partial->history, more))
+		partial->reserved += more;
+	else
+		drop_text(partial);
+}
+
+static void append(struct partial_turn *partial, const uint8_t *data,
+		   size_t len)
+{
+	partial->len += len;
+	reserve(partial, partial->len);
+	if (partial->text != NULL)
+		g_byte_array_append(partial->text, data, (guint)len);
+}
+
+/* Adds a turn of known length to the chain that is loaded. */
 static void add_turn(struct load *load)
 {
 	struct partial_turn *partial = load->partial;
-	GBytes *text =
-		g_byte_array_free_to_bytes(g_byte_array_ref(partial->text));
-
+	GBytes *text = NULL;
+
+	if (partial->text != NULL)
+		text = g_byte_array_free_to_bytes(
+			g_steal_pointer(&partial->text));
+	/* The chain counts what it keeps. */
+	hist_release(partial->history, partial->reserved);
+	partial->reserved = 0;
 	hist_chain_add(load->turn->chain, partial->key, partial->previous,
-		       load->owner, text, clock_boot_ms());
-	g_bytes_unref(text);
+		       load->owner, text, MAX(partial->len, partial->total),
+		       clock_boot_ms());
+	if (text != NULL)
+		g_bytes_unref(text);
 	g_clear_pointer(&load->partial, partial_free);
 }
 
@@ -57,6 +92,7 @@
 	gsize len;
 	const uint8_t *data = g_bytes_get_data(row->value, &len);
 	Rows__Turn *head = rows__turn__unpack(NULL, len, data);
+	struct partial_turn *partial;
 
 	g_clear_pointer(&load->partial, partial_free);
 	if (head == NULL) {
@@ -64,15 +100,18 @@
 		     PROGRAMS_TABLE, slog_quote(row->key));
 		return;
 	}
-	load->partial = g_new0(struct partial_turn, 1);
-	g_strlcpy(load->partial->key, row->key + KEY_LEN, KEY_LEN);
-	g_strlcpy(load->partial->previous, head->previous, KEY_LEN);
-	load->partial->text = g_byte_array_new();
-	g_byte_array_append(load->partial->text, head->text.data,
-			    (guint)head->text.len);
-	load->partial->missing_pieces = head->pieces;
+	partial = g_new0(struct partial_turn, 1);
+	load->partial = partial;
+	partial->history = load->turn->program->turns->history;
+	g_strlcpy(partial->key, row->key + KEY_LEN, KEY_LEN);
+	g_strlcpy(partial->previous, head->previous, KEY_LEN);
+	partial->total = head->length;
+	partial->missing_pieces = head->pieces;
+	partial->text = g_byte_array_new();
+	reserve(partial, partial->total);
+	append(partial, head->text.data, head->text.len);
 	rows__turn__free_unpacked(head, NULL);
-	if (load->partial->missing_pieces == 0)
+	if (partial->missing_pieces == 0)
 		add_turn(load);
 }
 
@@ -87,7 +126,7 @@
 	if (partial == NULL ||
 	    strncmp(row->key + KEY_LEN, partial->key, KEY_LEN - 1) != 0)
 		return;
-	g_byte_array_append(partial->text, data, (guint)len);
+	append(partial, data, len);
 	if (--partial->missing_pieces == 0)
 		add_turn(load);
 }
@@ -109,16 +148,44 @@
 	}
 }
 
+/* Returns the key at which to go on after a page. The pieces of a turn that
+ * ends on a later page are left out if there is no room for them. */
+static char *next_key(struct load *load, const struct store_response *reply)
+{
+	const struct partial_turn *partial = load->partial;
+	const struct store_row *last = &g_array_index(
+		reply->rows, struct store_row, reply->rows->len - 1);
+	char to[HEAD_KEY_LEN + 2];
+
+	if (partial == NULL || partial->text != NULL || partial->total == 0)
+		return store_key_after(last->key);
+	turns_rows_end(load->owner, partial->key, to);
+	add_turn(load);
+	return g_strdup(to);
+}
+
+/* Whether further rows of a program are needed. */
+static bool needs_more(const struct turns_turn *turn)
+{
+	return hist_chain_missing(turn->chain) != NULL ||
+	       (turn->load_state == LOAD_TEXTS &&
+		!hist_chain_is_kept(turn->chain));
+}
+
+/* Reads the rows of a program from @p from on: its key, or that of a further
+ * page. */
 static void read_program(struct load *load, const char *from);
 
 static void on_program_rows(void *arg, const struct store_response *reply)
 {
 	struct load *load = arg;
 	struct program *program = load->turn->program;
+	char *from = NULL;
 
 	load->call = NULL;
+	load->page = NULL;
 	if (reply->result != STORE_OK) {
-		finish_load(load, false);
+		turns_finish_load(load, false);
 		return;
 	}
 	parse_turn_rows(load, reply->rows);
@@ -130,30 +197,29 @@
 			turns_apply_budget_row(program, row->value,
 					       row->version, reply->sent_ms);
 	}
-	if (reply->more && reply->rows->len > 0 &&
-	    hist_chain_missing(load->turn->chain) != NULL &&
-	    !hist_chain_is_too_large(load->turn->chain)) {
-		const struct store_row *row = &g_array_index(
-			reply->rows, struct store_row, reply->rows->len - 1);
-		char *from = store_key_after(row->key);
-
+	if (reply->more && reply->rows->len > 0)
+		from = next_key(load, reply);
+	if (from != NULL && needs_more(load->turn))
 		read_program(load, from);
-		g_free(from);
-		return;
-	}
-	finish_load(load, true);
+	else
+		turns_finish_load(load, true);
+	g_free(from);
 }
 
 static void read_program(struct load *load, const char *from)
 {
+	struct turns *turns = load->turn->program->turns;
 	char to[KEY_LEN + 2];
 	char part[PART_LEN];
 
 	turns_program_part(load->owner, part);
 	g_snprintf(to, sizeof(to), "%s0", load->owner);
-	load->call =
-		store_read(load->turn->program->turns->store, PROGRAMS_TABLE,
-			   part, from, to, on_program_rows, load);
+	if (from == load->owner)
+		load->call = store_read(turns->store, PROGRAMS_TABLE, part,
+					from, to, on_program_rows, load);
+	else
+		load->page = turns_read_page(turns, load->owner, from, to,
+					     on_program_rows, load);
 }
 
 static void on_index(void *arg, const struct store_response *reply)
@@ -170,10 +236,10 @@
 		if (len == KEY_LEN - 1)
 			memcpy(load->turn->found_owner, owner, len);
 	}
-	finish_load(load, reply->result == STORE_OK);
+	turns_finish_load(load, reply->result == STORE_OK);
 }
 
-static struct load *add_load(struct turns_turn *turn, const char *owner)
+struct load *turns_add_load(struct turns_turn *turn, const char *owner)
 {
 	struct load *load = g_new0(struct load, 1);
 
@@ -183,6 +249,14 @@
 	return load;
 }
 
+/* Reads the rows of a program. */
+static void read_owner(struct turns_turn *turn, const char *owner)
+{
+	struct load *load = turns_add_load(turn, owner);
+
+	read_program(load, load->owner);
+}
+
 /* Searches the index for the program that holds the missing turn. */
 static void search_index(struct turns_turn *turn)
 {
@@ -190,44 +264,55 @@
 
 	turn->load_state = LOAD_SEARCH;
 	memset(turn->found_owner, 0, KEY_LEN);
-	g_snprintf(to, sizeof(to), "%s!", turn->missing_turn);
+	g_strlcpy(turn->searched_turn, hist_chain_missing(turn->chain),
+		  KEY_LEN);
+	g_snprintf(to, sizeof(to), "%s!", turn->searched_turn);
 	for (int i = 0; i < ACCOUNT_PARTS; i++) {
-		struct load *load = add_load(turn, "");
+		struct load *load = turns_add_load(turn, "");
 		char part[PART_LEN];
 
 		turns_account_part(turn->program->key, i, part);
 		load->call = store_read(turn->program->turns->store,
-					TURNS_TABLE, part, turn->missing_turn,
+					TURNS_TABLE, part, turn->searched_turn,
 					to, on_index, load);
 	}
 }
 
+/* The store can't be read: waits for it, or gives up. */
+static void on_load_failed(struct turns_turn *turn)
+{
+	turn->load_failed = false;
+	turn->load_state = LOAD_NONE;
+	turn->texts_read = false;
+	if (!turns_stall(turn))
+		turns_report_verdict(turn, TURNS_UNAVAILABLE);
+}
+
 /* Goes on after the last of the current reads has ended. */
 static void on_loads_ended(struct turns_turn *turn)
 {
-	if (turn->load_failed && turn->found_owner[0] == '\0') {
-		turn->load_failed = false;
-		turn->load_state = LOAD_NONE;
-		turn->read_again = false;
-		if (!turns_stall(turn))
-			turns_report_verdict(turn, TURNS_UNAVAILABLE);
+	bool found =
+		turn->load_state == LOAD_SEARCH && turn->found_owner[0] != '\0';
+
+	if (turn->load_failed && !found) {
+		on_load_failed(turn);
 		return;
 	}
 	turn->load_failed = false;
-	if (turn->load_state == LOAD_SEARCH) {
-		if (turn->found_owner[0] == '\0') {
-			turns_report_verdict(turn, TURNS_NOT_FOUND);
-			return;
-		}
+	if (turn->owner_expired ||
+	    (turn->load_state == LOAD_SEARCH && !found)) {
+		turns_report_verdict(turn, TURNS_NOT_FOUND);
+		return;
+	}
+	if (found) {
 		turn->load_state = LOAD_OWNER;
-		read_program(add_load(turn, turn->found_owner),
-			     turn->found_owner);
+		read_owner(turn, turn->found_owner);
 		return;
 	}
 	turns_advance(turn);
 }
 
-static void finish_load(struct load *load, bool ok)
+void turns_finish_load(struct load *load, bool ok)
 {
 	struct turns_turn *turn = load->turn;
 
@@ -237,53 +322,40 @@
 		on_loads_ended(turn);
 }
 
-/* The history can't be loaded: its rows are incomplete, or it takes more memory
- * than there is for histories now. */
-static void give_up(struct turns_turn *turn, const char *cause)
+/* The rows of the history are incomplete. */
+static void give_up(struct turns_turn *turn)
 {
-	slog("history_broken", NULL,
-	     "\"turn\":%s,\"cause\":\"%s\",\"loading\":%" G_GUINT64_FORMAT,
-	     slog_quote(turn->missing_turn), cause,
-	     hist_chain_bytes(turn->program->turns->history));
-	turns_cancel_loads(turn);
+	slog("history_broken", NULL, "\"turn\":%s",
+	     slog_quote(hist_chain_missing(turn->chain)));
 	turns_report_verdict(turn, TURNS_UNAVAILABLE);
 }
 
-/* Reads the rows of a program again, if the missing turn was among them: it was
- * not known then that its text would be needed. Returns false otherwise. */
-static bool read_program_again(struct turns_turn *turn, const char *owner)
-{
-	if (turn->read_again ||
-	    !hist_chain_has_seen(turn->chain, turn->missing_turn))
-		return false;
-	turn->read_again = true;
-	read_program(add_load(turn, owner), owner);
-	return true;
-}
-
 /* Reads on, until no turn of the chain is missing. */
 static void load_missing(struct turns_turn *turn)
 {
+	const char *missing = hist_chain_missing(turn->chain);
 	const char *own = turn->program->key;
 
 	switch (turn->load_state) {
 	case LOAD_NONE:
 		turn->load_state = LOAD_PROGRAM;
-		read_program(add_load(turn, own), own);
+		read_owner(turn, own);
 		break;
-	case LOAD_PROGRAM:
-		if (read_program_again(turn, own))
+	case LOAD_OWNER:
+		if (strcmp(turn->searched_turn, missing) == 0) {
+			give_up(turn);
 			break;
-		if (hist_chain_has_seen(turn->chain, turn->missing_turn))
-			give_up(turn, "rows incomplete");
+		}
+		/* fall through */
+	case LOAD_PROGRAM:
+		if (hist_chain_has_seen(turn->chain, missing))
+			give_up(turn);
 		else
 			search_index(turn);
 		break;
-	case LOAD_OWNER:
-		if (!read_program_again(turn, turn->found_owner))
-			give_up(turn, "rows incomplete");
-		break;
 	case LOAD_SEARCH: /* ends in LOAD_OWNER or a verdict */
+	case LOAD_TEXTS:
+	case LOAD_KEEP:
 	case LOAD_DONE:
 		break;
 	}
@@ -302,28 +374,33 @@
 	if (turn->previous[0] == '\0' || turn->load_state == LOAD_DONE)
 		return true;
 	open_chain(turn);
-	return hist_chain_missing(turn->chain) == NULL;
+	return hist_chain_missing(turn->chain) == NULL &&
+	       hist_chain_is_kept(turn->chain);
 }
 
-bool turns_load_history(struct turns_turn *turn)
+/* Reads the rows of a program again, once: it was not known before that the
+ * texts of its turns would be needed. Returns false if there is no need. */
+static bool load_texts(struct turns_turn *turn)
 {
-	struct program *program = turn->program;
-	const char *missing;
+	const char *owner = hist_chain_fits(turn->chain);
 
-	open_chain(turn);
-	missing = hist_chain_missing(turn->chain);
-	g_strlcpy(turn->missing_turn, missing ? missing : "", KEY_LEN);
-	if (hist_chain_is_too_large(turn->chain)) {
-		give_up(turn, "too large");
+	if (turn->texts_read || owner == NULL)
 		return false;
-	}
-	if (missing != NULL) {
+	turn->texts_read = true;
+	turn->load_state = LOAD_TEXTS;
+	read_owner(turn, owner);
+	return true;
+}
+
+bool turns_load_history(struct turns_turn *turn)
+{
+	open_chain(turn);
+	if (hist_chain_missing(turn->chain) != NULL) {
 		load_missing(turn);
 		return false;
 	}
-	turn->foreign_history = hist_chain_join(turn->chain, program->key,
-						clock_boot_ms(), turn->history);
+	if (load_texts(turn) || turns_keep_owners(turn))
+		return false;
 	turn->load_state = LOAD_DONE;
-	turns_cancel_loads(turn);
 	return true;
 }
--- a/serve/turns_write.c
+++ b/serve/turns_write.c
@@ -19,17 +19,21 @@
 }
 
 static void put_head(struct store_tx *tx, struct turns_turn *turn,
-		     const uint8_t *text, gsize len, uint32_t pieces)
+		     uint32_t pieces)
 {
+	gsize len;
+	const uint8_t *text = g_bytes_get_data(turn->text, &len);
 	Rows__Turn row = ROWS__TURN__INIT;
 	uint8_t *packed;
 	size_t packed_len;
 	char key[2 * KEY_LEN + 8];
 
-	row.previous = turn->foreign_history ? (char *)"" : turn->previous;
+	row.previous = turn->copies_history ? (char *)"" : turn->previous;
 	row.text.data = (uint8_t *)text;
-	row.text.len = len;
+	row.text.len = MIN(len, PIECE_BYTES);
 	row.pieces = pieces;
+	row.has_length = true;
+	row.length = len;
 	packed = msg_pack(&row.base, &packed_len);
 	g_snprintf(key, sizeof(key), "%s/%s", turn->program->key, turn->key);
 	store_tx_expect(tx, TURNS_TABLE, turn->key, 0);
@@ -65,7 +69,7 @@
 	}
 	if (*rows_left == 0)
 		return;
-	put_head(tx, turn, text, first_len, pieces);
+	put_head(tx, turn, pieces);
 	turn->writing = true;
 	(*rows_left)--;
 }
--- a/serve/upstream.c
+++ b/serve/upstream.c
@@ -57,7 +57,8 @@
 struct upstream_call {
 	struct conn *conn;
 	GString *head;
-	GBytes *body;
+	GQueue pieces;	/* of the body, until the connection is established */
+	bool more_body; /* it goes on */
 	char *id_name;
 	char *id;
 	const struct upstream_handler *handler;
@@ -88,12 +89,16 @@
 	g_free(conn);
 }
 
+static void free_piece(gpointer p)
+{
+	g_bytes_unref(p);
+}
+
 static void call_free(struct upstream_call *call)
 {
 	if (call->head != NULL)
 		g_string_free(call->head, TRUE);
-	if (call->body != NULL)
-		g_bytes_unref(call->body);
+	g_queue_clear_full(&call->pieces, free_piece);
 	g_free(call->id_name);
 	g_free(call->id);
 	g_free(call);
@@ -330,7 +335,7 @@
 		if (call->complete) {
 			evbuffer_drain(in, parsed);
 			/* Bytes after a response belong to no request. */
-			if (evbuffer_get_length(in) > 0 ||
+			if (evbuffer_get_length(in) > 0 || call->more_body ||
 			    evbuffer_get_length(bufferevent_get_output(bev)))
 				call->reusable = false;
 			http_parser_pause(&conn->parser, 0);
@@ -350,30 +355,45 @@
 		on_eof(conn);
 }
 
-static void release_body(const void *data, size_t len, void *body)
+static void release_piece(const void *data, size_t len, void *piece)
 {
 	(void)data;
 	(void)len;
-	g_bytes_unref(body);
+	g_bytes_unref(piece);
+}
+
+/* Writes a piece of a body, and takes over the reference. */
+static void write_piece(struct conn *conn, GBytes *piece)
+{
+	gsize len;
+	const void *data = g_bytes_get_data(piece, &len);
+
+	evbuffer_add_reference(bufferevent_get_output(conn->bev), data, len,
+			       release_piece, piece);
+}
+
+static void on_written(struct bufferevent *bev, void *arg)
+{
+	struct conn *conn = arg;
+	struct upstream_call *call = conn->call;
+
+	(void)bev;
+	if (call != NULL && call->sent && call->more_body)
+		call->handler->writable(call->arg);
 }
 
 static void send_request(struct conn *conn)
 {
 	struct upstream_call *call = conn->call;
+	GBytes *piece;
 
 	call->sent = true;
 	bufferevent_write(conn->bev, call->head->str, call->head->len);
 	g_string_free(call->head, TRUE);
 	call->head = NULL;
 	note_memory(conn, 0);
-	if (call->body != NULL) {
-		gsize len;
-		const void *data = g_bytes_get_data(call->body, &len);
-
-		evbuffer_add_reference(bufferevent_get_output(conn->bev), data,
-				       len, release_body,
-				       g_bytes_ref(call->body));
-	}
+	while ((piece = g_queue_pop_head(&call->pieces)) != NULL)
+		write_piece(conn, piece);
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
 }
@@ -532,7 +552,7 @@
 	conn->bev = bufferevent_socket_new(upstream->base, -1,
 					   BEV_OPT_CLOSE_ON_FREE |
 						   BEV_OPT_DEFER_CALLBACKS);
-	bufferevent_setcb(conn->bev, on_read, NULL, on_event, conn);
+	bufferevent_setcb(conn->bev, on_read, on_written, on_event, conn);
 	return conn;
 }
 
@@ -597,7 +617,10 @@
 	struct conn *conn = request->tunnel ? NULL : take_idle(request);
 
 	call->head = request->head;
-	call->body = request->body ? g_bytes_ref(request->body) : NULL;
+	g_queue_init(&call->pieces);
+	if (request->body != NULL)
+		g_queue_push_tail(&call->pieces, g_bytes_ref(request->body));
+	call->more_body = request->more_body;
 	call->id_name = g_strdup(request->id_name);
 	call->id = g_strdup(request->id);
 	call->handler = handler;
@@ -616,6 +639,27 @@
 	return call;
 }
 
+void upstream_write(struct upstream_call *call, GBytes *piece, bool last)
+{
+	call->more_body = !last;
+	if (call->sent)
+		write_piece(call->conn, g_bytes_ref(piece));
+	else
+		g_queue_push_tail(&call->pieces, g_bytes_ref(piece));
+}
+
+size_t upstream_unsent(const struct upstream_call *call)
+{
+	size_t len = 0;
+
+	if (call->sent)
+		return evbuffer_get_length(
+			bufferevent_get_output(call->conn->bev));
+	for (const GList *i = call->pieces.head; i != NULL; i = i->next)
+		len += g_bytes_get_size(i->data);
+	return len;
+}
+
 void upstream_cancel(struct upstream_call *call)
 {
 	struct conn *conn = call->conn;
--- a/serve/upstream.h
+++ b/serve/upstream.h
@@ -41,6 +41,9 @@
 	void (*body)(void *arg, const char *data, size_t len);
 	/** A new connection was established for the request; or NULL. */
 	void (*connected)(void *arg);
+	/** All that was written of the body has been sent, and more is to
+	 * follow; needed if the request has more_body. */
+	void (*writable)(void *arg);
 	/** The last callback; @p cause says what failed, or is "". */
 	void (*end)(void *arg, enum upstream_result result, const char *cause);
 };
@@ -51,6 +54,7 @@
 	GQueue *idle;	     /**< pool of idle connections to that address */
 	GString *head;	     /**< request line and header; takes ownership */
 	GBytes *body;	     /**< or NULL; a reference is taken */
+	bool more_body;	     /**< the body goes on: upstream_write() */
 	const char *id_name; /**< header that a response must echo, or NULL */
 	const char *id;	     /**< and its value */
 	/** Connections that have carried a request with that id, of uint64_t;
@@ -78,6 +82,10 @@
 				    const struct upstream_request *request,
 				    const struct upstream_handler *handler,
 				    void *arg);
+/** Writes the next piece of the body, of which a reference is taken. */
+void upstream_write(struct upstream_call *call, GBytes *piece, bool last);
+/** Returns how many bytes of the body were written and are not sent yet. */
+size_t upstream_unsent(const struct upstream_call *call);
 /** Aborts a request and closes its connection; no callback is called. */
 void upstream_cancel(struct upstream_call *call);
 /**
--- a/test/run.sh
+++ b/test/run.sh
@@ -115,4 +115,6 @@
 # Without sanitizers, whose memory is not that of the process.
 step "header floods against processes"
 timeout 600 build/header_flood build/apricotshift
+step "long chains at one process"
+timeout 300 build/long_chains build/apricotshift build/long_chains.log
 echo "all: 1 passed, 0 failed"
