catalog: an empty list of accounts is not a missing one

Cause: whether keys are needed followed from the number of accounts.

Ruled out: a late configuration, the store's feed.

Change: the catalog says whether there was a list; the decision asks that. A request that has waited for the store is checked by the newest configuration also if it came without a key.

--- a/decide/catalog.c
+++ b/decide/catalog.c
@@ -11,7 +11,7 @@
 	GHashTable *hosts;    /* host -> GPtrArray of routes, longest first */
 	GHashTable *accounts; /* name -> struct cat_account */
 	GHashTable *keys;     /* key -> struct cat_account, borrowed */
-	guint routes;
+	bool requires_keys;
 	bool warm_engines;
 };
 
@@ -114,7 +114,6 @@
 		g_hash_table_insert(catalog->hosts, g_strdup(host), routes);
 	}
 	g_ptr_array_add(routes, copy);
-	catalog->routes++;
 	g_free(host);
 }
 
@@ -179,12 +178,14 @@
 	return &catalog->limits;
 }
 
-void cat_count_entries(const struct catalog *catalog, guint *routes,
-		       guint *services, guint *accounts)
+void cat_require_keys(struct catalog *catalog)
 {
-	*routes = catalog->routes;
-	*services = g_hash_table_size(catalog->services);
-	*accounts = g_hash_table_size(catalog->accounts);
+	catalog->requires_keys = true;
+}
+
+bool cat_requires_keys(const struct catalog *catalog)
+{
+	return catalog->requires_keys;
 }
 
 const struct cat_route *cat_find_route(const struct catalog *catalog,
--- a/decide/catalog.h
+++ b/decide/catalog.h
@@ -89,6 +89,9 @@
 		     const struct cat_service *service);
 /** Adds a route; the catalog owns its strings and targets. */
 void cat_add_route(struct catalog *catalog, const struct cat_route *route);
+/** Sets that requests need the key of an account: the configuration has a list
+ * of accounts, which may be empty. */
+void cat_require_keys(struct catalog *catalog);
 /** Adds an account; the catalog owns its name. Returns the stored account, for
  * @ref cat_add_key. */
 struct cat_account *cat_add_account(struct catalog *catalog,
@@ -109,9 +112,8 @@
 bool cat_has_warm_engines(const struct catalog *catalog);
 /** Returns the limits for callers. */
 const struct cat_limits *cat_limits(const struct catalog *catalog);
-/** Returns the numbers of routes, services and accounts. */
-void cat_count_entries(const struct catalog *catalog, guint *routes,
-		       guint *services, guint *accounts);
+/** Whether requests need the key of an account, but on public routes. */
+bool cat_requires_keys(const struct catalog *catalog);
 /** Returns the route of @p host with the longest prefix of @p path, or NULL.
  * The query in @p path and the port in @p host are ignored. */
 const struct cat_route *cat_find_route(const struct catalog *catalog,
--- a/decide/catdiff.c
+++ b/decide/catdiff.c
@@ -108,7 +108,10 @@
 	      cat_change_fn *fn, void *arg)
 {
 	struct diff diff = {from, to, fn, arg};
+	bool required = cat_requires_keys(to);
 
+	if (from == NULL ? required : cat_requires_keys(from) != required)
+		fn("keys", "", required ? "required" : "not required", "", arg);
 	cat_foreach_account(to, account_changed, &diff);
 	cat_foreach_route(to, route_changed, &diff);
 	if (from == NULL)
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -381,9 +381,6 @@
 {
 	struct exch_shared *shared = x->shared;
 	struct catalog *catalog = watcher_catalog(shared->watcher);
-	guint routes;
-	guint services;
-	guint accounts;
 
 	if (catalog == NULL) {
 		stats_count(STATS_REFUSED_NO_CONFIG);
@@ -395,7 +392,6 @@
 	}
 	x->catalog = cat_ref(catalog);
 	x->route = cat_find_route(catalog, x->call.host, x->call.path);
-	cat_count_entries(catalog, &routes, &services, &accounts);
 	if (watcher_config_age_ms(shared->watcher) >
 		    shared->max_config_age_ms &&
 	    (x->route == NULL || !x->route->is_public)) {
@@ -409,7 +405,7 @@
 		exch_reply_error(x, 404, "no such route", 0);
 		return false;
 	}
-	if (accounts == 0 || x->route->is_public)
+	if (!cat_requires_keys(catalog) || x->route->is_public)
 		return true;
 	x->account = x->call.key ? cat_find_key(catalog, x->call.key) : NULL;
 	if (x->account == NULL) {
--- a/serve/exchange_outage.c
+++ b/serve/exchange_outage.c
@@ -57,7 +57,8 @@
 {
 	const struct catalog *catalog = watcher_catalog(x->shared->watcher);
 
-	if (cat_find_key(catalog, x->call.key) == NULL)
+	if (cat_requires_keys(catalog) &&
+	    (x->call.key == NULL || cat_find_key(catalog, x->call.key) == NULL))
 		exch_refuse(x, STATS_REFUSED_KEY, 401, "unknown key", 0);
 	else
 		exch_send(x);
@@ -152,7 +153,7 @@
 
 void exch_send_checked(struct exch *x)
 {
-	if (x->account == NULL)
+	if (x->route->is_public)
 		exch_send(x);
 	else if (has_current_config(x))
 		send_if_valid(x);
