exchange: a kept turn that its caller takes up is kept whole

Cause: an instance stores what it has received itself.

Ruled out: the store (the row is what was committed), streams that a gateway resumes by itself (whole).

Change: where turns are kept, the server is asked for the stream from its beginning, or from the last event received here, and the caller gets what it lacks. It works at any instance, as often as it is resumed, and needs no record.

--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -548,7 +548,7 @@
 	if (!authorize(x) || !choose_service(x))
 		return;
 	exch_hold(x);
-	x->last_event_id = x->call.last_event_id;
+	x->received_event_id = x->route->retain ? -1 : x->call.last_event_id;
 	x->retry.attempts = x->route->attempts;
 	x->retry.idempotent =
 		x->route->kind == CAT_IDEMPOTENT ||
--- a/serve/exchange_int.h
+++ b/serve/exchange_int.h
@@ -85,7 +85,10 @@
 	struct splitter *splitter;
 	GString *turn_output; /* data of all events, for the history */
 	GBytes *turn_text;    /* input and output, once it is complete */
-	int64_t last_event_id;
+	/* The last event of the stream, of all attempts; -1: none. It is behind
+	 * the caller's while a retained turn that its caller takes up is
+	 * received again: all of its output is stored. */
+	int64_t received_event_id;
 	uint64_t tokens_used;
 	bool upstream_complete; /* the server's response is complete */
 	bool first_event_seen;
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -180,16 +180,19 @@
 						   now_ms));
 }
 
-static void on_event(void *arg, const struct splitter_event *event)
+/* Whether the caller has all events that have been received, by what it says.
+ */
+static bool is_behind(const struct exch *x)
 {
-	struct exch *x = arg;
+	return x->route->retain && x->call.last_event_id >= 0 &&
+	       x->received_event_id <= x->call.last_event_id;
+}
 
-	if (event->id >= 0 && event->id <= x->last_event_id)
-		return;
-	if (x->version == NULL)
-		bind_version(x);
+/* Adds an event to the history and to the measurements. */
+static void note_event(struct exch *x, const struct splitter_event *event)
+{
 	if (event->id >= 0)
-		x->last_event_id = event->id;
+		x->received_event_id = event->id;
 	if (event->has_data) {
 		x->tokens_used += MAX(x->service->stride, 1);
 		x->attempt_tokens += MAX(x->service->stride, 1);
@@ -200,13 +203,26 @@
 				    (gssize)event->data->len);
 		g_string_append_c(x->turn_output, '\n');
 	}
-	g_byte_array_append(x->buffered, (const guint8 *)event->raw,
-			    (guint)event->raw_len);
 	x->events_received++;
 	if (x->first_event_ms == 0)
 		x->first_event_ms = clock_boot_ms();
 	else
 		x->later_events++;
+}
+
+static void on_event(void *arg, const struct splitter_event *event)
+{
+	struct exch *x = arg;
+
+	if (event->id >= 0 && event->id <= x->received_event_id)
+		return;
+	if (x->version == NULL)
+		bind_version(x);
+	note_event(x, event);
+	if (is_behind(x))
+		return;
+	g_byte_array_append(x->buffered, (const guint8 *)event->raw,
+			    (guint)event->raw_len);
 	if (!x->first_event_seen)
 		stats_observe(STATS_FIRST_EVENT,
 			      clock_boot_ms() - x->started_ms);
@@ -415,6 +431,12 @@
 	exch_attempt_failed(x, RETRY_INTERRUPTED, cause);
 }
 
+/* Whether a complete stream lacks events that the caller has. */
+static bool is_short(const struct exch *x)
+{
+	return x->route->retain && x->received_event_id < x->call.last_event_id;
+}
+
 static void on_end(void *arg, enum upstream_result result, const char *step)
 {
 	struct exch *x = arg;
@@ -425,6 +447,10 @@
 	if (result == UPSTREAM_COMPLETE && x->streaming &&
 	    splitter_pending(x->splitter) > 0)
 		on_broken(x, "event cut off");
+	else if (result == UPSTREAM_COMPLETE && x->streaming && x->usable &&
+		 is_short(x))
+		exch_attempt_failed(x, RETRY_INTERRUPTED,
+				    "ends before the caller's last event");
 	else if (result == UPSTREAM_COMPLETE)
 		on_complete_response(x);
 	else if (result == UPSTREAM_NO_TUNNEL)
@@ -502,7 +528,7 @@
 	     server->reported_running + server->reported_waiting,
 	     server->reported_at_ms > 0 ? now_ms - server->reported_at_ms : -1,
 	     left_ms, slog_quote(x->route->name), cat_version(x->catalog),
-	     slog_quote(server->version), x->last_event_id,
+	     slog_quote(server->version), x->received_event_id,
 	     slog_quote(x->call.resumes ? x->call.resumes : ""),
 	     limit.named ? limit.per_s : -1.0,
 	     limit.named ? now_ms - limit.as_of_ms : -1,
@@ -555,7 +581,7 @@
 		.server = server->id,
 		.account = x->account ? x->account->name : NULL,
 		.deadline_ms = x->deadline_at_ms - now_ms,
-		.last_event_id = x->last_event_id,
+		.last_event_id = x->received_event_id,
 		.priority = server_priority(x),
 	};
 	uint64_t body_len = exch_body_size(x);
