upstream: an answer without a length ends only with an orderly end

What callers saw (MIXED): a server answers a long upload at once with a 200 without a length, sends a part and resets the connection while the upload is written. The caller gets that part as a complete answer.

Cause: the write that fails takes the reset from the socket, the read after it sees an ordinary end, and both events are reported together.

Ruled out: the parser, framed responses.

Change: the end counts if a read has seen it, no error stands beside it, TCP was not reset, and the whole request has been sent. The instance that carries a connection says that a server has closed in order on the same terms.

--- a/serve/sock.c
+++ b/serve/sock.c
@@ -30,6 +30,20 @@
 		       0;
 }
 
+bool sock_ended_in_order(struct bufferevent *bev, short what)
+{
+	struct tcp_info info = {0};
+	socklen_t len = sizeof(info);
+
+	/* An error of a write stands beside the end that a read has seen. */
+	if (!(what & BEV_EVENT_EOF) || !(what & BEV_EVENT_READING) ||
+	    (what & (BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)))
+		return false;
+	return getsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_INFO, &info,
+			  &len) != 0 ||
+	       info.tcpi_state != TCP_CLOSE;
+}
+
 void sock_reset_on_close(evutil_socket_t fd)
 {
 	struct linger linger = {.l_onoff = 1};
--- a/serve/sock.h
+++ b/serve/sock.h
@@ -12,6 +12,10 @@
 /** Starts to connect to @p address, HOST:PORT; returns false if that fails at
  * once. */
 bool sock_connect(struct bufferevent *bev, const char *address);
+/** Whether the peer has closed its side in order, after an event @p what (see
+ * bufferevent_event_cb) that ended the connection: it was not reset, also if an
+ * earlier call has taken that error from the socket. */
+bool sock_ended_in_order(struct bufferevent *bev, short what);
 /** Makes the close of the socket a reset: what it carried may be incomplete. */
 void sock_reset_on_close(evutil_socket_t fd);
 
--- a/serve/tunnel.c
+++ b/serve/tunnel.c
@@ -255,7 +255,9 @@
 	if (what & BEV_EVENT_EOF && tunnel->connected && !tunnel->ending &&
 	    side == tunnel->server) {
 		on_bytes(side, tunnel);
-		if (tunnel->frames)
+		/* Without the last frame the response may have been cut. */
+		if (tunnel->frames && sock_ended_in_order(side, what) &&
+		    count_unsent(side) == 0)
 			write_frames(bufferevent_get_output(to),
 				     bufferevent_get_input(side), true);
 		tunnel->ending = true;
--- a/serve/upstream.c
+++ b/serve/upstream.c
@@ -291,7 +291,7 @@
 }
 
 static void on_tunnel_reply(struct conn *conn);
-static void on_eof(struct conn *conn);
+static void on_eof(struct conn *conn, bool in_order);
 
 /* How many of the received bytes are the server's, up to the end of a frame. */
 static size_t count_readable(struct conn *conn, struct evbuffer *in)
@@ -352,7 +352,7 @@
 			conn->frame_left -= parsed;
 	}
 	if (conn->ended)
-		on_eof(conn);
+		on_eof(conn, true);
 }
 
 static void release_piece(const void *data, size_t len, void *piece)
@@ -449,8 +449,16 @@
 					   : UPSTREAM_NOT_SENT;
 }
 
-/* The peer closed the connection, which ends a response without a length. */
-static void on_eof(struct conn *conn)
+/* Whether the whole request has been sent. */
+static bool is_sent(const struct conn *conn)
+{
+	return conn->call->sent && !conn->call->more_body &&
+	       evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0;
+}
+
+/* The peer closed the connection, which ends a response without a length if it
+ * did so @p in_order. */
+static void on_eof(struct conn *conn, bool in_order)
 {
 	size_t parsed;
 
@@ -458,9 +466,11 @@
 		return;
 	conn->call->reusable = false;
 	/* The end of a tunnel is not the end of a response without a length,
-	 * unless that is said: the instance in between may have been killed. */
+	 * unless that is said: the instance in between may have been killed.
+	 * Nor is the end of a server that has not read its request. */
 	if (conn->call->complete &&
-	    (conn->call->framed || conn->ended || conn->tunnel_server == NULL))
+	    (conn->call->framed ||
+	     (is_sent(conn) && (conn->tunnel_server ? conn->ended : in_order))))
 		finish_call(conn, UPSTREAM_COMPLETE, "");
 	else
 		finish_call(conn, UPSTREAM_INTERRUPTED,
@@ -471,7 +481,6 @@
 {
 	struct conn *conn = arg;
 
-	(void)bev;
 	if (what & BEV_EVENT_CONNECTED) {
 		on_socket_connected(conn);
 		return;
@@ -483,7 +492,7 @@
 	if (!conn->connected)
 		finish_call(conn, unconnected_result(conn), "connect");
 	else if (what & BEV_EVENT_EOF)
-		on_eof(conn);
+		on_eof(conn, sock_ended_in_order(bev, what));
 	else
 		finish_call(conn, UPSTREAM_INTERRUPTED, "connection reset");
 }
