members, retry budget, inbound: logic that stood twice stands once

Change: lview_key(), members_have_newer_config() and INBOUND_MEMORY_RETRY_AFTER_MS are the only ones; turns_has_history() asks for the texts. test_retry_budget, test_members_news, test_inbound, test_store_outage and test_long_chain as before (sanitizers).

--- a/decide/retry_budget.c
+++ b/decide/retry_budget.c
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include "load_view.h"
 #include "retry_budget.h"
 #include "rng.h"
 
@@ -105,11 +106,6 @@
 	return GAP_MIN_MS * (double)MAX(rbud->instances, GAP_MIN_INSTANCES);
 }
 
-uint32_t rbud_hash(const char *server)
-{
-	return (uint32_t)rng_hash(server);
-}
-
 static struct refusal *find_hash(const struct rbud *rbud, uint32_t hash)
 {
 	return g_hash_table_lookup(rbud->refusals, GUINT_TO_POINTER(hash));
@@ -123,7 +119,7 @@
 
 	if (g_hash_table_size(rbud->refusals) == 0)
 		return NULL;
-	refusal = find_hash(rbud, rbud_hash(server));
+	refusal = find_hash(rbud, lview_key(server));
 	return refusal != NULL && refusal->level > 0 &&
 			       now - refusal->as_of_ms < RBUD_KEPT_MS
 		       ? refusal
@@ -183,7 +179,7 @@
 bool rbud_on_refused(struct rbud *rbud, const char *service, const char *server,
 		     bool has_room, int64_t sent_ms, int64_t now)
 {
-	struct refusal *refusal = add_refusal(rbud, rbud_hash(server));
+	struct refusal *refusal = add_refusal(rbud, lview_key(server));
 	struct pace *pace = add_pace(rbud, service);
 	bool is_news;
 
--- a/decide/retry_budget.h
+++ b/decide/retry_budget.h
@@ -43,7 +43,7 @@
 
 /** What instances tell each other of a server. */
 struct rbud_report {
-	uint32_t server; /**< rbud_hash() of its id */
+	uint32_t server; /**< lview_key() of its id */
 	uint32_t level;	 /**< consecutive refusals; 0: it does not refuse */
 	int64_t age_ms;
 };
@@ -61,8 +61,6 @@
 void rbud_destroy(struct rbud *rbud);
 /** Sets the number of instances, this one included. */
 void rbud_set_instances(struct rbud *rbud, uint32_t count);
-/** Hash by which instances name a server. */
-uint32_t rbud_hash(const char *server);
 
 /**
  * The server has refused a request that was sent at @p sent_ms.
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -11,7 +11,6 @@
 	SESSION_IDLE_MS = 65000,
 	QUOTA_WAIT_MS = 120,	/* a refusal may end a running program */
 	QUOTA_WAIT_NEW_MS = 40, /* a refusal costs only the round trip */
-	MEMORY_RETRY_AFTER_MS = 200,
 };
 
 const char *exch_account_name(const struct exch *x)
@@ -520,7 +519,7 @@
 	if (mem_is_full(shared->memory)) {
 		stats_count(STATS_REFUSED_MEMORY);
 		exch_reply_error(x, 503, "out of memory",
-				 MEMORY_RETRY_AFTER_MS);
+				 INBOUND_MEMORY_RETRY_AFTER_MS);
 		return;
 	}
 	if (!exch_await_config(x))
--- a/serve/exchange_outage.c
+++ b/serve/exchange_outage.c
@@ -19,8 +19,6 @@
 	CONFIG_POLL_MS = 10,
 	CONTACT_RETRY_MS = 60,	    /* another attempt takes up to 120 ms */
 	STORE_RETRY_AFTER_MS = 900, /* most store outages last seconds */
-	/* The store answered another instance after it failed here. */
-	PEER_MARGIN_MS = 300,
 };
 
 static bool has_current_config(const struct exch *x)
@@ -47,7 +45,7 @@
 		return members_have_fresh_config(members)
 			       ? EXCH_PEER_RETRY_AFTER_MS
 			       : STORE_RETRY_AFTER_MS;
-	return members_have_config(members, age_ms - PEER_MARGIN_MS)
+	return members_have_newer_config(members, age_ms)
 		       ? EXCH_PEER_RETRY_AFTER_MS
 		       : outage_retry_after_ms(age_ms, x->call.id);
 }
--- a/serve/exchange_refusal.c
+++ b/serve/exchange_refusal.c
@@ -21,7 +21,7 @@
 	     ",\"gap_ms\":%" G_GINT64_FORMAT
 	     ",\"running\":%u,\"told_running\":%u,\"told_waiting\":%u,"
 	     "\"slots\":%u,\"tokens\":%.2f",
-	     slog_quote(server->id), rbud_hash(server->id), view.level,
+	     slog_quote(server->id), server->load_key, view.level,
 	     view.backoff_ms, view.gap_ms, server->running,
 	     server->reported_running, server->reported_waiting, server->slots,
 	     view.tokens);
--- a/serve/inbound.c
+++ b/serve/inbound.c
@@ -28,8 +28,6 @@
 	PARSER_EXTRA_BYTES = 4096,
 };
 
-#define MEMORY_RETRY_AFTER_S "0.2"
-
 static void conn_free(struct inbound_conn *conn)
 {
 	cds_list_del(&conn->node);
@@ -298,11 +296,13 @@
 
 static void reject_and_close(struct inbound_conn *conn, int status)
 {
+	char headers[40] = "";
+
 	drop_request(conn);
-	write_header(conn, status,
-		     status == 503 ? "Retry-After: " MEMORY_RETRY_AFTER_S "\r\n"
-				   : "",
-		     "Content-Length: 0\r\n", true);
+	if (status == 503)
+		g_snprintf(headers, sizeof(headers), "Retry-After: %.1f\r\n",
+			   INBOUND_MEMORY_RETRY_AFTER_MS / 1000.0);
+	write_header(conn, status, headers, "Content-Length: 0\r\n", true);
 	close_after_response(conn);
 }
 
--- a/serve/inbound.h
+++ b/serve/inbound.h
@@ -20,6 +20,11 @@
 /** A listening socket and its connections. */
 struct inbound;
 
+enum {
+	/** Retry-After of what is refused for lack of memory, in ms. */
+	INBOUND_MEMORY_RETRY_AFTER_MS = 200,
+};
+
 /** A request. */
 struct inbound_request {
 	const char *method;
--- a/serve/members.c
+++ b/serve/members.c
@@ -200,6 +200,31 @@
 	quota_confirm_contact(members->config.quota, now_ms);
 }
 
+/* Whether another instance has a configuration that is younger than
+ * @p max_age_ms. */
+static bool have_config(const struct members *members, int64_t max_age_ms)
+{
+	int64_t now_ms = clock_boot_ms();
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, members->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct member *member = p;
+
+		if (member->heard_ms > 0 &&
+		    now_ms - member->heard_ms + member->config_age_ms <
+			    max_age_ms)
+			return true;
+	}
+	return false;
+}
+
+bool members_have_newer_config(const struct members *members, int64_t outage_ms)
+{
+	return have_config(members, outage_ms - OUTAGE_MARGIN_MS);
+}
+
 bool members_is_cut_off(const struct members *members, int64_t outage_ms)
 {
 	uint32_t responding = live_count(members->live) + 1;
@@ -207,7 +232,7 @@
 	return members->contacted &&
 	       (responding < members->count / 2 ||
 		live_is_isolated(members->live, clock_boot_ms()) ||
-		members_have_config(members, outage_ms - OUTAGE_MARGIN_MS));
+		members_have_newer_config(members, outage_ms));
 }
 
 /* The row of this instance's last start. One that is long ago has not left a
@@ -471,25 +496,7 @@
 
 bool members_have_fresh_config(const struct members *members)
 {
-	return members_have_config(members, FRESH_CONFIG_MAX_AGE_MS);
-}
-
-bool members_have_config(const struct members *members, int64_t max_age_ms)
-{
-	int64_t now_ms = clock_boot_ms();
-	GHashTableIter it;
-	gpointer p;
-
-	g_hash_table_iter_init(&it, members->by_id);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		const struct member *member = p;
-
-		if (member->heard_ms > 0 &&
-		    now_ms - member->heard_ms + member->config_age_ms <
-			    max_age_ms)
-			return true;
-	}
-	return false;
+	return have_config(members, FRESH_CONFIG_MAX_AGE_MS);
 }
 
 /* Number of instances that come before this one for @p task in rendezvous
--- a/serve/members.h
+++ b/serve/members.h
@@ -74,9 +74,10 @@
 uint32_t members_count(const struct members *members);
 /** Whether another instance has a fresh configuration. */
 bool members_have_fresh_config(const struct members *members);
-/** Whether another instance has a configuration that is younger than
- * @p max_age_ms. */
-bool members_have_config(const struct members *members, int64_t max_age_ms);
+/** Whether the store has given another instance a configuration since it failed
+ * here, @p outage_ms ago. */
+bool members_have_newer_config(const struct members *members,
+			       int64_t outage_ms);
 /** The relay address of an instance that reaches the store, or NULL. */
 const char *members_find_relay(const struct members *members);
 /** An instance that carries connections to backend servers for others. */
--- a/serve/turns_load.c
+++ b/serve/turns_load.c
@@ -371,7 +371,7 @@
 
 bool turns_has_history(struct turns_turn *turn)
 {
-	if (turn->previous[0] == '\0' || turn->load_state == LOAD_DONE)
+	if (turn->previous[0] == '\0')
 		return true;
 	open_chain(turn);
 	return hist_chain_missing(turn->chain) == NULL &&
