--- a/test/chains/long_chains.c
+++ b/test/chains/long_chains.c
@@ -15,22 +15,18 @@
  * against a process that is ended for its memory by the chains it serves.
  * Nothing that depends on speed is checked.
  */
-#include <errno.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/prctl.h>
 #include <unistd.h>
 
 #include <event2/event.h>
 #include <glib.h>
 
 #include "serve/hdr.h"
-#include "serve/inbound.h"
 #include "serve/upstream.h"
 #include "test/gateway/target.h"
-#include "test/standins/rowstore.h"
 
 enum {
 	PROGRAMS = 8,
@@ -45,12 +41,6 @@
 	START_TRIES = 100,
 	START_WAIT_MS = 100,
 	PORT = 22500, /* of the store; the others follow */
-	SERVER_PORT = PORT + 1,
-	CALLERS_PORT = PORT + 2,
-	READY_PORT = PORT + 3,
-	PEERS_PORT = PORT + 4,
-	RELAY_PORT = PORT + 5,
-	METRICS_PORT = PORT + 6,
 	CHAIN_MAX_BYTES = 2 * TURNS * (INPUT_BYTES + EVENTS * EVENT_BYTES),
 };
 
@@ -124,61 +114,18 @@
 	g_free(fill);
 }
 
-static void on_server_disconnect(void *arg, struct inbound_request *request)
-{
-	(void)arg;
-	(void)request;
-}
-
-/* Runs the store and the engine in a process of their own. */
-static pid_t start_platform(void)
-{
-	static const struct inbound_handler handler = {
-		.on_request = on_server_request,
-		.on_disconnect = on_server_disconnect};
-	static const struct inbound_limits limits = {1 << 20, CHAIN_MAX_BYTES,
-						     60000, 60000, 0};
-	static const char row[] =
-		"{\"service\":\"m\",\"address\":\"%s\",\"zone\":\"z\","
-		"\"version\":\"v1\",\"slots\":48,\"state\":\"ready\","
-		"\"cold_left_ms\":0,\"born\":1}";
-	pid_t pid = fork();
-	struct rowstore *store;
-	struct inbound *server;
-	char address[32];
-	char *text;
-
-	if (pid != 0)
-		return pid;
-	prctl(PR_SET_PDEATHSIG, SIGKILL);
-	base = event_base_new();
-	g_snprintf(address, sizeof(address), "127.0.0.1:%d", PORT);
-	store = rowstore_create(base, address);
-	g_snprintf(address, sizeof(address), "127.0.0.1:%d", SERVER_PORT);
-	server = inbound_create(base, address, &handler, NULL);
-	if (store == NULL || server == NULL) {
-		fprintf(stderr, "long_chains: can't listen: %s\n",
-			strerror(errno));
-		_exit(2);
-	}
-	inbound_set_limits(server, &limits);
-	text = g_strdup_printf(row, address);
-	rowstore_put(store, "servers", "", "s1", text);
-	rowstore_put(store, "op", "", "config", config);
-	event_base_dispatch(base);
-	_exit(0);
-}
+static const struct target_platform platform = {
+	.port = PORT,
+	.config = config,
+	.service = "m",
+	.max_body_bytes = CHAIN_MAX_BYTES,
+	.on_request = on_server_request,
+};
 
 static pid_t start_gateway(const char *binary, const char *path,
 			   const char *log)
 {
-	char *text = g_strdup_printf(
-		"{\"id\":\"g\",\"zone\":\"z\",\"callers\":\"127.0.0.1:%d\","
-		"\"ready\":\"127.0.0.1:%d\",\"peers\":\"127.0.0.1:%d\","
-		"\"relay\":\"127.0.0.1:%d\",\"metrics\":\"127.0.0.1:%d\","
-		"\"store\":\"127.0.0.1:%d\",\"memory_mb\":%d}",
-		CALLERS_PORT, READY_PORT, PEERS_PORT, RELAY_PORT, METRICS_PORT,
-		PORT, MEMORY_MB);
+	char *text = target_settings(&platform, MEMORY_MB);
 
 	g_file_set_contents(path, text, -1, NULL);
 	g_free(text);
@@ -245,7 +192,8 @@
 					   .body = input,
 					   .connect_timeout_ms = 1000};
 
-	g_snprintf(address, sizeof(address), "127.0.0.1:%d", CALLERS_PORT);
+	g_snprintf(address, sizeof(address), "127.0.0.1:%d",
+		   PORT + TARGET_CALLERS);
 	g_snprintf(program->id, sizeof(program->id), "p%d-%d-%u",
 		   program->number, program->turn, g_random_int());
 	program->tries++;
@@ -375,7 +323,7 @@
 	char dir[] = "/tmp/aps-chains-XXXXXX";
 	struct program programs[PROGRAMS] = {0};
 	uint64_t peak_kb;
-	pid_t platform;
+	pid_t platform_pid;
 	pid_t gateway;
 	char *path;
 	int failed;
@@ -386,7 +334,7 @@
 	}
 	signal(SIGPIPE, SIG_IGN);
 	path = g_strdup_printf("%s/settings.json", dir);
-	platform = start_platform();
+	platform_pid = target_start_platform(&platform);
 	gateway = start_gateway(argv[1], path, argc > 2 ? argv[2] : NULL);
 	base = event_base_new();
 	upstream = upstream_create(base);
@@ -405,7 +353,7 @@
 	       MEMORY_MB);
 	failed += peak_kb == 0 || peak_kb > MEMORY_MB * 1024;
 	target_stop(&gateway);
-	target_stop(&platform);
+	target_stop(&platform_pid);
 	printf("long_chains: %d failed\n", failed);
 	return failed > 0;
 }
--- a/test/floods/header_flood.c
+++ b/test/floods/header_flood.c
@@ -25,18 +25,15 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <event2/event.h>
 #include <glib.h>
 
 #include "floods.h"
 #include "serve/inbound.h"
 #include "test/gateway/target.h"
-#include "test/standins/rowstore.h"
 
 enum {
 	FLOOD_CLIENTS = 200,
@@ -53,12 +50,9 @@
 	QUIET_STEPS = 40, /* without progress: the process reads no more */
 	SETTLE_MS = 500,  /* for the process to read what was sent */
 	PORT = 22400,	  /* of the store; the others follow */
-	SERVER_PORT = PORT + 1,
-	CALLERS_PORT = PORT + 2,
-	READY_PORT = PORT + 3,
-	PEERS_PORT = PORT + 4,
-	RELAY_PORT = PORT + 5,
-	METRICS_PORT = PORT + 6,
+	CALLERS_PORT = PORT + TARGET_CALLERS,
+	RELAY_PORT = PORT + TARGET_RELAY,
+	METRICS_PORT = PORT + TARGET_METRICS,
 	SERVE_PORT = PORT + 7,
 	SERVE_PEER_PORT = PORT + 8,
 };
@@ -126,51 +120,13 @@
 	g_free(headers);
 }
 
-static void on_server_disconnect(void *arg, struct inbound_request *request)
-{
-	(void)arg;
-	(void)request;
-}
-
-/* Runs the store and the server in a process of their own. */
-static void start_platform(void)
-{
-	static const struct inbound_handler handler = {
-		.on_request = on_server_request,
-		.on_disconnect = on_server_disconnect};
-	static const struct inbound_limits limits = {1 << 20, 1 << 20, 60000,
-						     60000, 0};
-	struct event_base *base;
-	struct rowstore *store;
-	struct inbound *server;
-	char address[32];
-	char row[256];
-
-	platform_pid = fork();
-	if (platform_pid != 0)
-		return;
-	prctl(PR_SET_PDEATHSIG, SIGKILL);
-	base = event_base_new();
-	g_snprintf(address, sizeof(address), "127.0.0.1:%d", PORT);
-	store = rowstore_create(base, address);
-	g_snprintf(address, sizeof(address), "127.0.0.1:%d", SERVER_PORT);
-	server = inbound_create(base, address, &handler, NULL);
-	if (store == NULL || server == NULL) {
-		fprintf(stderr, "header_flood: can't listen: %s\n",
-			strerror(errno));
-		_exit(2);
-	}
-	inbound_set_limits(server, &limits);
-	g_snprintf(row, sizeof(row),
-		   "{\"service\":\"shop\",\"address\":\"%s\",\"zone\":\"z\","
-		   "\"version\":\"v1\",\"slots\":400,\"state\":\"ready\","
-		   "\"cold_left_ms\":0,\"born\":1}",
-		   address);
-	rowstore_put(store, "servers", "", "s1", row);
-	rowstore_put(store, "op", "", "config", config);
-	event_base_dispatch(base);
-	_exit(0);
-}
+static const struct target_platform platform = {
+	.port = PORT,
+	.config = config,
+	.service = "shop",
+	.max_body_bytes = 1 << 20,
+	.on_request = on_server_request,
+};
 
 static char *build_settings(const struct target *target)
 {
@@ -181,13 +137,7 @@
 			"\"platform\":\"embedded\","
 			"\"rules\":\"examples/rules.txt\",\"threads\":%d}",
 			SERVE_PORT, SERVE_PEER_PORT, SERVE_THREADS);
-	return g_strdup_printf(
-		"{\"id\":\"g\",\"zone\":\"z\",\"callers\":\"127.0.0.1:%d\","
-		"\"ready\":\"127.0.0.1:%d\",\"peers\":\"127.0.0.1:%d\","
-		"\"relay\":\"127.0.0.1:%d\",\"metrics\":\"127.0.0.1:%d\","
-		"\"store\":\"127.0.0.1:%d\",\"memory_mb\":%d}",
-		CALLERS_PORT, READY_PORT, PEERS_PORT, RELAY_PORT, METRICS_PORT,
-		PORT, MEMORY_MB);
+	return target_settings(&platform, MEMORY_MB);
 }
 
 static void start_target(const struct target *target, const char *binary)
@@ -423,7 +373,7 @@
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
-	start_platform();
+	platform_pid = target_start_platform(&platform);
 	for (size_t t = 0; t < G_N_ELEMENTS(targets); t++) {
 		for (int i = 0; i < flood_count(); i++) {
 			struct flood flood;
--- a/test/gateway/target.h
+++ b/test/gateway/target.h
@@ -9,6 +9,34 @@
 #include <stdint.h>
 #include <sys/types.h>
 
+#include "serve/inbound.h"
+
+/** Ports of a gateway and its platform, from the first one on. */
+enum target_port {
+	TARGET_STORE,
+	TARGET_SERVER,
+	TARGET_CALLERS,
+	TARGET_READY,
+	TARGET_PEERS,
+	TARGET_RELAY,
+	TARGET_METRICS,
+};
+
+/** A store with one backend server. */
+struct target_platform {
+	int port;	    /**< the first one */
+	const char *config; /**< of the operators */
+	const char *service;
+	uint32_t max_body_bytes; /**< of the server */
+	void (*on_request)(void *arg, struct inbound_request *request);
+};
+
+/** Runs the store and the server in a process of their own, which ends with the
+ * test. */
+pid_t target_start_platform(const struct target_platform *platform);
+/** Returns the settings of a gateway at that platform; g_free() them. */
+char *target_settings(const struct target_platform *platform, int memory_mb);
+
 /**
  * Starts `binary command -c path`. It ends with the test.
  *
