turns: one read of another program's rows serves all that need it

Cause: each turn read, joined and copied the history for itself.

Change: the rows of another program are read for one of the turns that need them; the others wait for that, go on if its caller leaves, and fail with it if the store does. A history of another program is copied up to 256 KB, not 1 MB.

--- a/decide/history.c
+++ b/decide/history.c
@@ -206,9 +206,7 @@
 	return link;
 }
 
-/* Goes on to older turns of the chain, as far as they have been seen or are in
- * memory. */
-static void extend(struct hist_chain *chain, int64_t now)
+void hist_chain_extend(struct hist_chain *chain, int64_t now)
 {
 	while (*chain->next != '\0') {
 		struct link *link = find_link(chain, chain->next);
@@ -241,7 +239,7 @@
 	chain->order = g_ptr_array_new();
 	chain->links =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, link_free);
-	extend(chain, now);
+	hist_chain_extend(chain, now);
 	return chain;
 }
 
@@ -276,7 +274,7 @@
 	if (link == NULL) {
 		add_link(chain, key, previous, owner,
 			 text != NULL ? g_bytes_get_size(text) : len);
-		extend(chain, now);
+		hist_chain_extend(chain, now);
 	} else if (link->in_chain) {
 		turn = find_turn(chain->hist, key, now);
 		if (turn != NULL)
--- a/decide/history.h
+++ b/decide/history.h
@@ -59,6 +59,9 @@
 void hist_chain_add(struct hist_chain *chain, const char *key,
 		    const char *previous, const char *owner, GBytes *text,
 		    uint64_t len, int64_t now);
+/** Goes on to older turns as far as they are in memory, as another chain may
+ * have read them. */
+void hist_chain_extend(struct hist_chain *chain, int64_t now);
 /** Returns the key of the next older turn, which has not been seen, or NULL if
  * the chain is whole. */
 const char *hist_chain_missing(const struct hist_chain *chain);
--- a/serve/turns.c
+++ b/serve/turns.c
@@ -139,6 +139,7 @@
 		event_new(base, -1, EV_PERSIST, on_eviction_timer, turns);
 	event_add(turns->eviction_timer, &tv);
 	turns_init_stalls(turns);
+	turns_init_loads(turns);
 	CDS_INIT_LIST_HEAD(&turns->pages);
 	return turns;
 }
@@ -151,6 +152,7 @@
 	hist_destroy(turns->history);
 	event_free(turns->eviction_timer);
 	event_free(turns->stall_timer);
+	turns_fini_loads(turns);
 	g_free(turns);
 }
 
--- a/serve/turns_int.h
+++ b/serve/turns_int.h
@@ -81,6 +81,10 @@
 	struct cds_list_head stalled_turns;
 	struct event *stall_timer;  /* while there are any */
 	struct cds_list_head pages; /* being read, or waiting for that */
+	/* Program -> struct load that reads its rows for another program. */
+	GHashTable *owner_loads;
+	struct cds_list_head ready_loads; /* that need not wait any longer */
+	struct event *ready_event;	  /* handles them */
 	bool (*is_cut_off)(void *arg, int64_t outage_ms); /* or NULL */
 	void *cut_off_arg;
 };
@@ -110,6 +114,12 @@
 	struct partial_turn *partial;
 	char owner[KEY_LEN]; /* program being read; "" for the index */
 	guint tries;	     /* to extend its expiry */
+	/* Loads that wait for this one, as they need the rows of the same
+	 * program; or this one in such a list, or in ready_loads. */
+	struct cds_list_head waiting;
+	struct cds_list_head waiting_node;
+	bool waits;
+	bool failed; /* the store could not be read */
 };
 
 /** One turn in progress. */
@@ -173,6 +183,9 @@
 void turns_account_part(const char *key, int i, char *part);
 /** Reads the budget row of a program, and then goes on with its turns. */
 void turns_read_budget(struct program *program);
+/** Prepares for reads of other programs, and ends that. */
+void turns_init_loads(struct turns *turns);
+void turns_fini_loads(struct turns *turns);
 /** Prepares for turns that wait until the store responds. */
 void turns_init_stalls(struct turns *turns);
 /** Begins a turn that may wait for the store. Returns whether it goes on at
--- a/serve/turns_keep.c
+++ b/serve/turns_keep.c
@@ -14,7 +14,7 @@
 #include "turns_int.h"
 
 enum {
-	COPY_MAX_BYTES = 1048576, /* of a history */
+	COPY_MAX_BYTES = 262144, /* of a history */
 	EXTEND_TRIES_MAX = 5,
 };
 
--- a/serve/turns_load.c
+++ b/serve/turns_load.c
@@ -32,10 +32,32 @@
 	g_free(partial);
 }
 
+/* Lets the loads go on that wait for this one, from the event loop. */
+static void release_waiting(struct load *load)
+{
+	struct turns *turns = load->turn->program->turns;
+	struct load *other;
+	struct load *next;
+
+	if (g_hash_table_lookup(turns->owner_loads, load->owner) != load)
+		return;
+	g_hash_table_remove(turns->owner_loads, load->owner);
+	cds_list_for_each_entry_safe(other, next, &load->waiting,
+				     waiting_node) {
+		other->failed = load->failed;
+		cds_list_del(&other->waiting_node);
+		cds_list_add_tail(&other->waiting_node, &turns->ready_loads);
+		event_active(turns->ready_event, 0, 0);
+	}
+}
+
 void turns_load_free(gpointer p)
 {
 	struct load *load = p;
 
+	release_waiting(load);
+	if (load->waits)
+		cds_list_del(&load->waiting_node);
 	if (load->call != NULL)
 		store_cancel(load->call);
 	if (load->page != NULL)
@@ -244,6 +266,7 @@
 	struct load *load = g_new0(struct load, 1);
 
 	load->turn = turn;
+	CDS_INIT_LIST_HEAD(&load->waiting);
 	g_strlcpy(load->owner, owner, KEY_LEN);
 	g_ptr_array_add(turn->loads, load);
 	return load;
@@ -257,6 +280,58 @@
 	read_program(load, load->owner);
 }
 
+/* Reads the rows of another program, or waits for a load that does so: many
+ * programs may continue one turn at once. */
+static void share_read(struct load *load)
+{
+	GHashTable *loads = load->turn->program->turns->owner_loads;
+	struct load *other = g_hash_table_lookup(loads, load->owner);
+
+	load->waits = other != NULL;
+	if (other != NULL) {
+		cds_list_add_tail(&load->waiting_node, &other->waiting);
+		return;
+	}
+	g_hash_table_insert(loads, load->owner, load);
+	read_program(load, load->owner);
+}
+
+/* Goes on with the loads that have waited: what they need is in memory now, or
+ * they read it. */
+static void on_ready(evutil_socket_t fd, short what, void *arg)
+{
+	struct turns *turns = arg;
+	struct load *load;
+
+	(void)fd;
+	(void)what;
+	while (!cds_list_empty(&turns->ready_loads)) {
+		load = cds_list_first_entry(&turns->ready_loads, struct load,
+					    waiting_node);
+		cds_list_del(&load->waiting_node);
+		load->waits = false;
+		hist_chain_extend(load->turn->chain, clock_boot_ms());
+		if (load->failed ||
+		    hist_chain_missing(load->turn->chain) == NULL)
+			turns_finish_load(load, !load->failed);
+		else
+			share_read(load);
+	}
+}
+
+void turns_init_loads(struct turns *turns)
+{
+	turns->owner_loads = g_hash_table_new(g_str_hash, g_str_equal);
+	CDS_INIT_LIST_HEAD(&turns->ready_loads);
+	turns->ready_event = event_new(turns->base, -1, 0, on_ready, turns);
+}
+
+void turns_fini_loads(struct turns *turns)
+{
+	event_free(turns->ready_event);
+	g_hash_table_destroy(turns->owner_loads);
+}
+
 /* Searches the index for the program that holds the missing turn. */
 static void search_index(struct turns_turn *turn)
 {
@@ -306,7 +381,7 @@
 	}
 	if (found) {
 		turn->load_state = LOAD_OWNER;
-		read_owner(turn, turn->found_owner);
+		share_read(turns_add_load(turn, turn->found_owner));
 		return;
 	}
 	turns_advance(turn);
@@ -316,6 +391,7 @@
 {
 	struct turns_turn *turn = load->turn;
 
+	load->failed = !ok;
 	turn->load_failed |= !ok;
 	g_ptr_array_remove_fast(turn->loads, load);
 	if (turn->loads->len == 0)
--- a/test/chains/long_chains.c
+++ b/test/chains/long_chains.c
@@ -2,10 +2,10 @@
  * @file long_chains.c
  * @brief Several programs with the longest chains at one process.
  *
- * long_chains BINARY [LOG]: starts a gateway with a stand-in store and engine,
- * and runs PROGRAMS programs of TURNS turns through it at once. Each input is
- * as long as the configuration allows, and each answer nearly as long. Checks
- * that
+ * long_chains BINARY [LOG]: starts a gateway with a stand-in store and engine.
+ * First BURST new programs continue one stored turn at once, several times;
+ * then PROGRAMS programs run TURNS turns at once, whose inputs are as long as
+ * the configuration allows, and whose answers are long too. Checks that
  *  - each turn is answered whole, at one of its callers' tries: a process may
  *    refuse what it has no memory for now
  *  - its server gets every byte of the chain, in order
@@ -30,6 +30,10 @@
 
 enum {
 	PROGRAMS = 8,
+	BURST = 72, /* programs that continue one turn at once */
+	BURST_ROUNDS = 3,
+	BURST_CHAIN_BYTES = 700000,
+	BURST_INPUT_BYTES = 1000,
 	TURNS = 7,
 	INPUT_BYTES = 4000000, /* max_body_bytes is 4,194,304 */
 	EVENTS = 20,
@@ -89,12 +93,13 @@
 }
 
 /* The engine answers with the hash and the length of what it got, and then with
- * long events. */
+ * long events if the request asks for them. */
 static void on_server_request(void *arg, struct inbound_request *request)
 {
 	const char *id = hdr_get(request->headers, "Request-Id");
 	GString *out = g_string_new(NULL);
 	char *fill = g_strnfill(EVENT_BYTES, 'o');
+	bool is_long = hdr_get(request->headers, "Long-Answer") != NULL;
 
 	(void)arg;
 	g_string_printf(out,
@@ -106,7 +111,7 @@
 		out, "id: 1\ndata: %016" G_GINT64_MODIFIER "x %u\n\n",
 		hash_bytes(HASH_BASE, request->body->data, request->body->len),
 		request->body->len);
-	for (int i = 2; i <= EVENTS; i++)
+	for (int i = 2; i <= EVENTS && is_long; i++)
 		g_string_append_printf(out, "id: %d\ndata: %s\n\n", i, fill);
 	inbound_send_chunk(request, out->str, out->len);
 	inbound_end_reply(request);
@@ -162,7 +167,7 @@
 /* The input of a turn: it names the program and the turn. */
 static GBytes *build_input(const struct program *program, size_t len)
 {
-	char *text = g_strnfill(len, (char)('a' + program->number));
+	char *text = g_strnfill(len, (char)('a' + program->number % 26));
 
 	text[0] = (char)('0' + program->turn);
 	text[len - 1] = '\n';
@@ -206,6 +211,8 @@
 			"Program-Id: p%d\r\nSession-Id: s%d\r\n"
 			"Token-Usage: 10,600\r\nContent-Length: %zu\r\n",
 			program->id, program->number, program->number, len);
+	if (len == INPUT_BYTES)
+		g_string_append(request.head, "Long-Answer: 1\r\n");
 	if (program->turn > 1)
 		g_string_append_printf(request.head, "Previous-Turn: %s\r\n",
 				       program->previous);
@@ -253,22 +260,22 @@
 }
 
 /* Sends the turns that have failed again; returns whether any was sent. */
-static bool send_again(struct program *programs)
+static bool send_again(struct program *programs, int count, size_t len)
 {
 	bool sent = false;
 
-	for (int i = 0; i < PROGRAMS; i++) {
+	for (int i = 0; i < count; i++) {
 		if (programs[i].whole || programs[i].tries == TRIES_MAX)
 			continue;
 		if (!sent)
 			run_ms(RETRY_MS);
-		send_turn(&programs[i], INPUT_BYTES);
+		send_turn(&programs[i], len);
 		sent = true;
 	}
 	return sent;
 }
 
-static void run_until_done(const struct program *programs)
+static void run_until_done(const struct program *programs, int count)
 {
 	int64_t until_us = g_get_monotonic_time() + TIMEOUT_MS * 1000LL;
 	bool done = false;
@@ -276,30 +283,89 @@
 	while (!done && g_get_monotonic_time() < until_us) {
 		run_ms(10);
 		done = true;
-		for (int i = 0; i < PROGRAMS; i++)
+		for (int i = 0; i < count; i++)
 			done &= programs[i].done;
 	}
 }
 
-/* Runs the turns of all programs, turn by turn; returns how many failed. */
-static int play(struct program *programs)
+/* Runs a turn of @p len bytes of each program at once; returns how many
+ * failed. */
+static int play_turn(struct program *programs, int count, int turn, size_t len)
 {
 	int failed = 0;
 
-	for (int turn = 1; turn <= TURNS && failed == 0; turn++) {
-		for (int i = 0; i < PROGRAMS; i++) {
-			begin_turn(&programs[i], turn, INPUT_BYTES);
-			send_turn(&programs[i], INPUT_BYTES);
+	for (int i = 0; i < count; i++) {
+		begin_turn(&programs[i], turn, len);
+		send_turn(&programs[i], len);
+	}
+	do {
+		run_until_done(programs, count);
+	} while (send_again(programs, count, len));
+	for (int i = 0; i < count; i++)
+		failed += !check_answer(&programs[i]);
+	return failed;
+}
+
+static void program_init(struct program *program, int number)
+{
+	memset(program, 0, sizeof(*program));
+	program->number = number;
+	program->hash = HASH_BASE;
+	program->answer = g_string_new(NULL);
+}
+
+/* Runs programs with chains that get ever longer; returns how many turns
+ * failed. */
+static int play_chains(void)
+{
+	struct program programs[PROGRAMS];
+	int failed = 0;
+
+	for (int i = 0; i < PROGRAMS; i++)
+		program_init(&programs[i], i);
+	for (int turn = 1; turn <= TURNS && failed == 0; turn++)
+		failed += play_turn(programs, PROGRAMS, turn, INPUT_BYTES);
+	for (int i = 0; i < PROGRAMS; i++)
+		g_string_free(programs[i].answer, TRUE);
+	return failed;
+}
+
+/* Lets new programs continue one turn of another program, all at once. */
+static int play_burst(void)
+{
+	struct program first;
+	struct program programs[BURST];
+	int number = PROGRAMS;
+	int failed;
+
+	program_init(&first, number++);
+	failed = play_turn(&first, 1, 1, BURST_CHAIN_BYTES);
+	for (int round = 0; round < BURST_ROUNDS && failed == 0; round++) {
+		for (int i = 0; i < BURST; i++) {
+			program_init(&programs[i], number++);
+			programs[i].hash = first.hash;
+			programs[i].len = first.len;
+			g_strlcpy(programs[i].previous, first.id,
+				  sizeof(programs[i].previous));
 		}
-		do {
-			run_until_done(programs);
-		} while (send_again(programs));
-		for (int i = 0; i < PROGRAMS; i++)
-			failed += !check_answer(&programs[i]);
+		failed += play_turn(programs, BURST, 2, BURST_INPUT_BYTES);
+		for (int i = 0; i < BURST; i++)
+			g_string_free(programs[i].answer, TRUE);
 	}
+	g_string_free(first.answer, TRUE);
 	return failed;
 }
 
+/* Checks the peak of the gateway's memory; returns whether it is too high. */
+static bool is_too_large(pid_t gateway, const char *phase)
+{
+	uint64_t peak_kb = target_status_kb(gateway, "VmHWM:");
+
+	printf("long_chains: %s, peak %.1f MB (bound %d)\n", phase,
+	       (double)peak_kb / 1024, MEMORY_MB);
+	return peak_kb == 0 || peak_kb > MEMORY_MB * 1024;
+}
+
 /* Waits until the gateway serves. */
 static bool is_served(void)
 {
@@ -321,8 +387,6 @@
 int main(int argc, char **argv)
 {
 	char dir[] = "/tmp/aps-chains-XXXXXX";
-	struct program programs[PROGRAMS] = {0};
-	uint64_t peak_kb;
 	pid_t platform_pid;
 	pid_t gateway;
 	char *path;
@@ -342,16 +406,10 @@
 		printf("long_chains: the gateway does not start\n");
 		return 2;
 	}
-	for (int i = 0; i < PROGRAMS; i++) {
-		programs[i].number = i;
-		programs[i].hash = HASH_BASE;
-		programs[i].answer = g_string_new(NULL);
-	}
-	failed = play(programs);
-	peak_kb = target_status_kb(gateway, "VmHWM:");
-	printf("long_chains: peak %.1f MB (bound %d)\n", (double)peak_kb / 1024,
-	       MEMORY_MB);
-	failed += peak_kb == 0 || peak_kb > MEMORY_MB * 1024;
+	failed = play_burst();
+	failed += is_too_large(gateway, "burst");
+	failed += play_chains();
+	failed += is_too_large(gateway, "chains");
 	target_stop(&gateway);
 	target_stop(&platform_pid);
 	printf("long_chains: %d failed\n", failed);
--- a/test/unit/test_long_chain.c
+++ b/test/unit/test_long_chain.c
@@ -320,6 +320,42 @@
 				 strlen(end));
 }
 
+/* Several programs continue one turn at once: its rows are read for one of
+ * them. If that one's caller leaves, the others must not wait for it. */
+static void test_reader_of_a_shared_history_leaves(void **state)
+{
+	enum { READ_MS = 100, CALLERS = 4 };
+	struct fixture_response responses[CALLERS];
+
+	(void)state;
+	send_line(0, 0, LONG_TURN_BYTES);
+	fixture_kill_gateway(1);
+	fixture_start_gateway(1);
+	fixture_wait_until_ready();
+	rowstore_set_delay(fx.store, READ_MS);
+	for (int i = 0; i < CALLERS; i++) {
+		char *headers = g_strdup_printf(
+			AUTH_HEADER "Program-Id: m%d\r\nSession-Id: m%d\r\n"
+				    "Token-Usage: 10,60\r\n"
+				    "Request-Id: m%d\r\nPrevious-Turn: l6\r\n",
+			i, i, i);
+
+		fixture_send(&responses[i], 1, "POST", "/kept/turn", headers,
+			     "last\n");
+		g_free(headers);
+	}
+	/* Own rows and the index have been read, the other program's not. */
+	fixture_run_until(NULL, 2 * READ_MS + READ_MS / 2);
+	fixture_response_clear(&responses[0]);
+	rowstore_set_delay(fx.store, 0);
+	for (int i = 1; i < CALLERS; i++) {
+		fixture_run_until(&responses[i].done, RESPONSE_TIMEOUT_MS);
+		assert_int_equal(responses[i].status, 200);
+		fixture_response_clear(&responses[i]);
+	}
+	assert_line_received(LONG_TURN_BYTES);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -332,6 +368,7 @@
 		FIXTURE_TEST(test_long_chain_is_sent_again),
 		FIXTURE_TEST(test_store_fails_within_a_history),
 		FIXTURE_TEST(test_long_history_of_another_program_stays),
+		FIXTURE_TEST(test_reader_of_a_shared_history_leaves),
 	};
 
 	if (sodium_init() < 0 || freopen(LOG_PATH, "w", stdout) == NULL)
