--- a/serve/upstream.c
+++ b/serve/upstream.c
@@ -425,8 +425,9 @@
 static void on_eof(struct conn *conn, bool in_order)
 {
 	enum input_result result;
+	size_t parsed;
 
-	if (conn->call->sent && !parse(conn, NULL, 0, NULL, &result))
+	if (conn->call->sent && !parse(conn, NULL, 0, &parsed, &result))
 		return;
 	conn->call->reusable = false;
 	/* The end of a tunnel is not the end of a response without a length,
