upstream: what is given up is reset, not closed

Cause: a request that was given up was closed, and the network delivered the bytes that it had held back, a whole request among them.

Change: a call that is cancelled or interrupted resets its connection; so does the instance that carries one when the other instance ends it.

Related paths looked at: callers that leave, deadlines, second sends, calls to the store (all cancel a call), carried connections, connections whose response is whole (kept or closed as before), the checks of servers (they send nothing).

--- a/serve/tunnel.c
+++ b/serve/tunnel.c
@@ -264,7 +264,10 @@
 		set_timer(tunnel, END_TIMEOUT_MS);
 		if (evbuffer_get_length(bufferevent_get_output(to)) > 0)
 			return;
-	} else if (to != NULL && what & BEV_EVENT_ERROR) {
+	} else if (to != NULL &&
+		   (side == tunnel->instance || what & BEV_EVENT_ERROR)) {
+		/* An instance ends a connection only if it gives up what that
+		 * carries. */
 		sock_reset_on_close(bufferevent_getfd(to));
 	}
 	tunnel_free(tunnel);
--- a/serve/upstream.c
+++ b/serve/upstream.c
@@ -93,6 +93,14 @@
 	g_bytes_unref(p);
 }
 
+/* Gives up the request that a connection carries. It is reset: what has not
+ * reached the peer must not do so later. */
+static void conn_abandon(struct conn *conn)
+{
+	sock_reset_on_close(bufferevent_getfd(conn->bev));
+	conn_free(conn);
+}
+
 static void call_free(struct upstream_call *call)
 {
 	if (call->head != NULL)
@@ -127,8 +135,10 @@
 		bufferevent_enable(conn->bev, EV_READ);
 		g_queue_push_tail(conn->idle, conn);
 		set_timer(conn, conn->keep_alive_ms);
-	} else {
+	} else if (result == UPSTREAM_COMPLETE) {
 		conn_free(conn);
+	} else {
+		conn_abandon(conn);
 	}
 	handler->end(arg, result, cause);
 }
@@ -641,7 +651,7 @@
 
 	conn->call = NULL;
 	call_free(call);
-	conn_free(conn);
+	conn_abandon(conn);
 }
 
 static bool may_put_off(struct upstream_call *call, int64_t *until_ms)
--- a/test/gateway/raw.c
+++ b/test/gateway/raw.c
@@ -18,6 +18,8 @@
 	GHashTable *conns; /* set of struct raw_conn */
 	struct raw_answer answer;
 	guint received;
+	guint closed;
+	guint reset;
 };
 
 struct raw_conn {
@@ -123,9 +125,16 @@
 
 static void on_conn_event(struct bufferevent *bev, short what, void *arg)
 {
+	struct raw_conn *conn = arg;
+
 	(void)bev;
-	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-		conn_close(arg);
+	if (what & BEV_EVENT_ERROR)
+		conn->server->reset++;
+	else if (what & BEV_EVENT_EOF)
+		conn->server->closed++;
+	else
+		return;
+	conn_close(conn);
 }
 
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
@@ -186,6 +195,11 @@
 	return server->received;
 }
 
+guint raw_server_ended(const struct raw_server *server, bool reset)
+{
+	return reset ? server->reset : server->closed;
+}
+
 static void on_response(struct bufferevent *bev, void *arg)
 {
 	struct raw_response *response = arg;
--- a/test/gateway/raw.h
+++ b/test/gateway/raw.h
@@ -40,6 +40,9 @@
 /** Returns the number of requests whose header was received. */
 guint raw_server_received(const struct raw_server *server);
 
+/** Returns the number of connections that their peers have reset, or closed. */
+guint raw_server_ended(const struct raw_server *server, bool reset);
+
 /** What a caller got. */
 struct raw_response {
 	GString *bytes;
--- a/test/unit/test_raw_answers.c
+++ b/test/unit/test_raw_answers.c
@@ -193,6 +193,34 @@
 	links_close(links);
 }
 
+/* Guards against a request that has been given up and still arrives: a network
+ * that holds bytes back delivers them after a close, but not after a reset. */
+static void test_abandoned_request_is_reset(void **state)
+{
+	static const struct raw_answer silent = {.bytes = "", .reads = true};
+	struct links *links = links_open();
+	struct raw_response response;
+
+	(void)state;
+	raw_server_set(raw_service, &silent);
+	raw_server_set(raw_engine, &silent);
+	send_raw(CALL_PATH, SHORT_UPLOAD_BYTES, &response);
+	raw_response_clear(&response);
+	assert_int_equal(raw_server_ended(raw_service, true), 1);
+	send_raw(STREAM_PATH, LONG_UPLOAD_BYTES, &response);
+	raw_response_clear(&response);
+	assert_int_equal(raw_server_ended(raw_engine, true), 1);
+	fixture_put_started("s1", "shop", SERVICE_1_ADDRESS, 2);
+	fixture_run_until(NULL, STEP_MS);
+	links_cut(links, LINK_REFUSES);
+	fixture_run_until(NULL, CARRIED_MS);
+	send_raw(CALL_PATH, SHORT_UPLOAD_BYTES, &response);
+	raw_response_clear(&response);
+	assert_int_equal(raw_server_received(raw_service), 2);
+	assert_int_equal(raw_server_ended(raw_service, true), 2);
+	links_close(links);
+}
+
 /* Answers that are not HTTP/1.1. */
 static const char *const invalid_answers[] = {
 	"HTTP/1.1 000 OK\r\n" HEAD_FIELDS "Content-Length: 2\r\n\r\nok",
@@ -272,6 +300,7 @@
 		RAW_TEST(test_reset_after_an_upload),
 		RAW_TEST(test_close_within_an_upload),
 		RAW_TEST(test_reset_of_a_carried_connection),
+		RAW_TEST(test_abandoned_request_is_reset),
 		RAW_TEST(test_answers_that_are_not_http),
 		RAW_TEST(test_resumed_by_no_http),
 	};
