--- a/review/13/play.c
+++ b/review/13/play.c
@@ -79,18 +79,20 @@
 static int send_turn(int gateway, const char *id, int last_event)
 {
 	char fields[512];
-	char resume[40] = "";
+	char resume[80] = "";
 	int fd = rig_open(gateway);
 
 	if (last_event >= 0)
-		snprintf(resume, sizeof(resume), "Last-Event-Id: %d\r\n",
+		snprintf(resume, sizeof(resume),
+			 "Last-Event-Id: %d\r\nResumes: attempt-1\r\n",
 			 last_event);
 	snprintf(fields, sizeof(fields),
 		 "Program-Id: p1\r\nSession-Id: s1\r\n"
 		 "Program-Deadline-Ms: 30000\r\nToken-Budget: 4576\r\n"
 		 "Token-Usage: 40,260\r\nModel: m\r\nDeadline-Ms: %d\r\n%s",
 		 LIMIT_MS, resume);
-	rig_record("client sends %s to gateway %d %s", id, gateway + 1, resume);
+	rig_record("client sends %s to gateway %d, after event %d", id,
+		   gateway + 1, last_event);
 	if (fd < 0 || !rig_post(fd, "/coach/1", id, fields, "the input"))
 		rig_finish(RIG_NOT_RUN, "a gateway takes no request");
 	return fd;
--- a/review/rig-3/rig3.c
+++ b/review/rig-3/rig3.c
@@ -60,8 +60,10 @@
 	struct rowstore *store;
 	struct rig_server *servers[SERVERS_MAX];
 	int server_count;
+	int memory_mb;
 	pthread_mutex_t server_lock;
-} rig = {.record_lock = PTHREAD_MUTEX_INITIALIZER,
+} rig = {.memory_mb = 290,
+	 .record_lock = PTHREAD_MUTEX_INITIALIZER,
 	 .server_lock = PTHREAD_MUTEX_INITIALIZER};
 
 int64_t rig_now_ms(void)
@@ -581,13 +583,13 @@
 		"\"tunnel\": \"%s:%d\",\n\"metrics\": \"%s:%d\",\n"
 		"\"grace_s\": 8,\n\"revoke_ms\": 5000,\n"
 		"\"quota_slack\": 20,\n\"contact_ms\": 3000,\n"
-		"\"memory_mb\": 290,\n"
+		"\"memory_mb\": %d,\n"
 		"\"contracts\": \"base,drain,config,cost,recover,agent,stream,"
 		"engine,tenants,quota,places,platform\",\n"
 		"\"store\": \"127.%d.2.1:%d\"\n}\n",
 		i + 1, host, PORT_FRONT, host, PORT_READY, host, PORT_PEERS,
-		host, PORT_RELAY, host, PORT_PEERS, host, PORT_METRICS, rig.net,
-		PORT_STORE);
+		host, PORT_RELAY, host, PORT_PEERS, host, PORT_METRICS,
+		rig.memory_mb, rig.net, PORT_STORE);
 	fclose(file);
 }
 
@@ -655,6 +657,27 @@
 	rig_record("gateway %d is ready", i + 1);
 }
 
+void rig_set_memory_mb(int mb)
+{
+	rig.memory_mb = mb;
+}
+
+long rig_gateway_memory_kb(int i)
+{
+	char path[64];
+	char line[128];
+	long kb = 0;
+	FILE *file;
+
+	snprintf(path, sizeof(path), "/proc/%d/status", (int)rig.gateways[i]);
+	file = fopen(path, "r");
+	while (file != NULL && fgets(line, sizeof(line), file) != NULL)
+		sscanf(line, "VmRSS: %ld", &kb);
+	if (file != NULL)
+		fclose(file);
+	return kb;
+}
+
 void rig_gateway_signal(int i, int signal)
 {
 	rig_record("gateway %d: %s", i + 1, strsignal(signal));
--- a/review/rig-3/rig3.h
+++ b/review/rig-3/rig3.h
@@ -92,6 +92,10 @@
 bool rig_stream_event(int fd, int id, const char *data);
 bool rig_stream_end(int fd);
 
+/** Sets the memory of the machines; 290 MB otherwise. */
+void rig_set_memory_mb(int mb);
+/** Returns the resident memory of gateway @p i, in KB. */
+long rig_gateway_memory_kb(int i);
 /** Starts gateway @p i and waits until it is ready. */
 void rig_gateway_start(int i);
 void rig_gateway_signal(int i, int signal);
