review: the scripts write record.txt wherever they are called from

Cause: run.sh resolved its own path after it had changed the folder, so that a call by a relative path from another folder ended with 2 without a record, as did a missing build. A case that was killed left its gateways running.

--- a/review/rig-3/rig3.c
+++ b/review/rig-3/rig3.c
@@ -13,6 +13,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -52,7 +53,6 @@
 	FILE *record;
 	pthread_mutex_t record_lock;
 	int64_t started_ms;
-	char folder[256];
 	char temp[64];
 	int net; /* second byte of all addresses: 127.NET.x.y */
 	pid_t gateways[RIG_GATEWAYS_MAX];
@@ -312,15 +312,12 @@
 	return NULL;
 }
 
-void rig_start(const char *folder)
+void rig_start(const char *record)
 {
-	char path[300];
 	sem_t ready;
 
 	signal(SIGPIPE, SIG_IGN);
-	snprintf(rig.folder, sizeof(rig.folder), "%s", folder);
-	snprintf(path, sizeof(path), "%s/record.txt", folder);
-	rig.record = fopen(path, "w");
+	rig.record = fopen(record, "w");
 	rig.started_ms = rig_now_ms();
 	if (rig.record == NULL)
 		rig_finish(RIG_NOT_RUN, "no record.txt");
@@ -627,6 +624,8 @@
 {
 	int out = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
+	/* A case that is killed leaves no gateway behind. */
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
 	dup2(out, STDOUT_FILENO);
 	dup2(out, STDERR_FILENO);
 	execl("target/apricotshift", "target/apricotshift", "gateway", "-c",
--- a/review/rig-3/rig3.h
+++ b/review/rig-3/rig3.h
@@ -62,8 +62,8 @@
 	size_t body_len;
 };
 
-/** Starts the store; @p folder gets record.txt. */
-void rig_start(const char *folder);
+/** Starts the store, and the record of the case in the file @p record. */
+void rig_start(const char *record);
 /** Writes a line to record.txt. */
 void rig_record(const char *format, ...) __attribute__((format(printf, 1, 2)));
 /** Ends all processes and exits with @p status. */
