stop: what can't end before the process does is not taken on

Cause: wider than the connection that stays open. While it shut down, an instance took any work by any way, however little of its grace period was left, and sent on what had waited since before.

Change: the time of the end is known from the signal on. A request that no server has got is sent only if its time limit (the caller's or the route's, whichever is shorter) ends before that; otherwise it is refused at once: 503, Not-Executed, Retry-After 50 ms. It is asked when a request has been read, before each send, and once for all that wait when the signal comes. The process ends 0.2 s before the grace period is over (0.5 s before), by its own timer; 0.1 s earlier what is only partly read is answered with 503.

Ruled out: that it is enough to close the connection with the end of its stream; new connections and requests that wait lead to the same end.

Related paths looked at: new connections while the process listens; idle ones; those whose header was sent before; requests that wait for quota, a server, the store, a configuration, a version; those that a server refuses or whose connection fails after the signal; requests carried for other instances (the first message names the time limit now); relayed calls to the store (waited for).

Logs: the line stopping has what is left of the grace period and of the request's own time; the line sent has stop_ms.

--- a/proto/rows.pb-c.c
+++ b/proto/rows.pb-c.c
@@ -2753,7 +2753,7 @@
   (ProtobufCMessageInit) rows__lend__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rows__tunnel_open__field_descriptors[2] =
+static const ProtobufCFieldDescriptor rows__tunnel_open__field_descriptors[3] =
 {
   {
     "server",
@@ -2779,15 +2779,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit_ms",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Rows__TunnelOpen, has_limit_ms),
+    offsetof(Rows__TunnelOpen, limit_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rows__tunnel_open__field_indices_by_name[] = {
   1,   /* field[1] = frames */
+  2,   /* field[2] = limit_ms */
   0,   /* field[0] = server */
 };
 static const ProtobufCIntRange rows__tunnel_open__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor rows__tunnel_open__descriptor =
 {
@@ -2797,7 +2810,7 @@
   "Rows__TunnelOpen",
   "rows",
   sizeof(Rows__TunnelOpen),
-  2,
+  3,
   rows__tunnel_open__field_descriptors,
   rows__tunnel_open__field_indices_by_name,
   1,  rows__tunnel_open__number_ranges,
--- a/proto/rows.pb-c.h
+++ b/proto/rows.pb-c.h
@@ -584,10 +584,15 @@
    */
   protobuf_c_boolean has_frames;
   protobuf_c_boolean frames;
+  /*
+   * time limit of the request that it is for; absent: an earlier build
+   */
+  protobuf_c_boolean has_limit_ms;
+  uint32_t limit_ms;
 };
 #define ROWS__TUNNEL_OPEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rows__tunnel_open__descriptor) \
-    , NULL, 0, 0 }
+    , NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -47,6 +47,7 @@
 
 void exch_free(struct exch *x)
 {
+	cds_list_del(&x->node);
 	mem_leave(&x->held);
 	exch_cancel_upstream(x);
 	if (x->waiter != NULL)
@@ -104,6 +105,8 @@
 	g_string_append_printf(headers, WIRE_REQUEST_ID_HEADER ": %s\r\n",
 			       x->call.id);
 	wire_add_retry_after(headers, wait_ms);
+	if (status == 503 || status == 429)
+		wire_add_not_executed(headers);
 	slog("refused", x->call.id,
 	     "\"status\":%d,\"cause\":\"%s\",\"wait_ms\":%" G_GINT64_FORMAT
 	     ",\"account\":%s,\"previous\":%s,\"config\":%" G_GINT64_FORMAT
@@ -516,6 +519,7 @@
 	x->call = call;
 	x->started_ms = clock_boot_ms();
 	request->user_data = x;
+	cds_list_add_tail(&x->node, &shared->all);
 	if (mem_is_full(shared->memory)) {
 		stats_count(STATS_REFUSED_MEMORY);
 		exch_reply_error(x, 503, "out of memory",
@@ -557,6 +561,10 @@
 		exch_refuse(x, STATS_REFUSED_FULL, 503, "no time", 0);
 		return;
 	}
+	if (!exch_may_send(x)) {
+		exch_refuse_stopping(x);
+		return;
+	}
 	if (x->account != NULL)
 		exch_acquire_quota(x);
 	else
--- a/serve/exchange.h
+++ b/serve/exchange.h
@@ -6,6 +6,7 @@
 #define APS_EXCHANGE_H
 
 #include <event2/event.h>
+#include <urcu/list.h>
 
 #include "admission.h"
 #include "crashes.h"
@@ -25,6 +26,11 @@
 #include "upstream.h"
 #include "watcher.h"
 
+enum {
+	/** Retry-After if another instance may serve it at once, in ms. */
+	EXCH_PEER_RETRY_AFTER_MS = 50,
+};
+
 /** State shared by all exchanges of an instance. */
 struct exch_shared {
 	struct event_base *base;
@@ -52,6 +58,8 @@
 	/** Age from which the configuration no longer authenticates keys. */
 	int64_t max_config_age_ms;
 	GHashTable *sessions; /**< session or program -> struct exch_session */
+	struct cds_list_head all; /**< exchanges in progress */
+	int64_t stop_at_ms;	  /**< when this instance ends; 0: not known */
 };
 
 /** Session affinity: the backend server that ran the last turn. */
@@ -66,6 +74,9 @@
 void exch_caller_disconnected(struct inbound_request *request);
 /** Notes that the caller has been sent all there is of its response. */
 void exch_caller_drained(struct inbound_request *request);
+/** This instance ends at @p ms, of CLOCK_BOOTTIME: refuses what has not been
+ * sent to a server and may take longer, now and from now on. */
+void exch_stop_at(struct exch_shared *shared, int64_t ms);
 /** Removes session affinity that has not been used recently. */
 void exch_expire_sessions(struct exch_shared *shared);
 
--- a/serve/exchange_int.h
+++ b/serve/exchange_int.h
@@ -8,8 +8,9 @@
  * that server, exchange_refusal.c records servers that refuse requests,
  * exchange_send.c sends it there and relays the response, exchange_body.c
  * writes the history before its input, exchange_retry.c
- * decides what becomes of it without a server or an answer, and
- * exchange_outage.c lets it wait for a current configuration or contact.
+ * decides what becomes of it without a server or an answer,
+ * exchange_outage.c lets it wait for a current configuration or contact, and
+ * exchange_stop.c decides what is still served while the instance shuts down.
  */
 #ifndef APS_EXCHANGE_INT_H
 #define APS_EXCHANGE_INT_H
@@ -23,12 +24,11 @@
 enum {
 	/** Timeout of a request if neither caller nor route sets one, in ms. */
 	EXCH_DEFAULT_TIMEOUT_MS = 30000,
-	/** Retry-After if another instance may serve it at once, in ms. */
-	EXCH_PEER_RETRY_AFTER_MS = 50,
 };
 
 /** One request. */
 struct exch {
+	struct cds_list_head node; /* in exch_shared.all */
 	struct exch_shared *shared;
 	struct mem_holder held;
 	struct inbound_request *request;
@@ -166,6 +166,12 @@
 /** Returns the Retry-After while the store does not respond, in ms. */
 int64_t exch_store_retry_after_ms(const struct exch *x);
 
+/** Whether the request may be sent to a server: one that has not been sent must
+ * be able to end before this instance does. */
+bool exch_may_send(const struct exch *x);
+/** Refuses a request that this instance can't end. */
+void exch_refuse_stopping(struct exch *x);
+
 /** Starts the request, or refuses it or lets it wait while servers are
  * overloaded. */
 void exch_admit(struct exch *x);
--- a/serve/exchange_retry.c
+++ b/serve/exchange_retry.c
@@ -228,6 +228,10 @@
 	enum fleet_pick_status why;
 	struct fleet_server *server;
 
+	if (!exch_may_send(x)) {
+		exch_refuse_stopping(x);
+		return;
+	}
 	if (exch_crashes_servers(x, &wait_ms)) {
 		stop_crashing(x, wait_ms);
 		return;
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -522,7 +522,8 @@
 	     ",\"version\":%s,\"after_event\":%" G_GINT64_FORMAT
 	     ",\"resumes\":%s,\"limit\":%.2f,\"limit_ms\":%" G_GINT64_FORMAT
 	     ",\"tunnel\":%s,\"link_lost\":%s,\"silent_ms\":%" G_GINT64_FORMAT
-	     ",\"fingerprint\":\"%016" G_GINT64_MODIFIER "x\"",
+	     ",\"fingerprint\":\"%016" G_GINT64_MODIFIER "x\""
+	     ",\"stop_ms\":%" G_GINT64_FORMAT,
 	     slog_quote(server->id), slog_quote(exch_account_name(x)),
 	     server->running,
 	     server->reported_running + server->reported_waiting,
@@ -534,7 +535,8 @@
 	     limit.named ? now_ms - limit.as_of_ms : -1,
 	     slog_quote(x->tunnel ? x->tunnel : ""),
 	     links_is_lost(x->shared->links, server->id) ? "true" : "false",
-	     links_silent_ms(x->shared->links, now_ms), x->fingerprint);
+	     links_silent_ms(x->shared->links, now_ms), x->fingerprint,
+	     x->shared->stop_at_ms > 0 ? x->shared->stop_at_ms - now_ms : -1);
 }
 
 /* Sends the request through another instance if the link to its server is lost;
@@ -548,6 +550,7 @@
 		x->tunnel = g_strdup(tunnel->id);
 		request->tunnel = tunnel->address;
 		request->server = x->server->id;
+		request->limit_ms = x->deadline_at_ms - now_ms;
 		request->connect_timeout_ms = TUNNEL_TIMEOUT_MS;
 		stats_count(STATS_SENT_BY_TUNNEL);
 		return;
--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -11,6 +11,7 @@
 #include "gateway.h"
 #include "platform/contracts.h"
 #include "platform/relay.h"
+#include "platform/wire.h"
 #include "settings.h"
 #include "slog.h"
 #include "stats.h"
@@ -23,7 +24,9 @@
 	/* The load balancer has to see two failed health checks, 1 s apart. */
 	LISTEN_LINGER_MS = 3200,
 	SERVER_LIMIT_KEPT_MS = 60000, /* of a server that is not listed */
-	EXIT_MARGIN_MS = 500,	      /* before the process is killed */
+	EXIT_MARGIN_MS = 200,	      /* before the process is killed */
+	/* Before the exit: for refusals of what has not been read by then. */
+	LAST_REFUSALS_MS = 100,
 	/* Feeds may lag by a second; a request takes time to arrive. */
 	REVOKE_MARGIN_MS = 1500,
 	PROCESS_KB = 16384, /* of a process without requests */
@@ -80,6 +83,7 @@
 	struct sweeper *sweeper;
 	struct event *signals[3];
 	struct event *tick_timer;
+	struct event *stop_timer;    /* of the last steps of a shutdown */
 	int64_t shutdown_started_ms; /* 0: no shutdown */
 	uint32_t ticks;
 	bool was_ready;
@@ -293,14 +297,28 @@
 	upstream_close_idle(server->idle);
 }
 
+/* When the process ends at the latest. */
+static int64_t stop_at_ms(const struct gw *gw)
+{
+	return gw->shutdown_started_ms + (int64_t)gw->settings->grace_s * 1000 -
+	       EXIT_MARGIN_MS;
+}
+
 void gw_stop(struct gw *gw)
 {
+	struct timeval tv;
+
 	if (gw->shutdown_started_ms != 0)
 		return;
 	gw->shutdown_started_ms = clock_boot_ms();
 	slog("stop", NULL, "\"grace_s\":%u", gw->settings->grace_s);
 	inbound_drain(gw->callers);
 	members_leave(gw->shared.members);
+	exch_stop_at(&gw->shared, stop_at_ms(gw));
+	if (gw->tunnels != NULL)
+		tunnels_end_at(gw->tunnels, stop_at_ms(gw));
+	tv = clock_timeval(stop_at_ms(gw) - LAST_REFUSALS_MS - clock_boot_ms());
+	event_add(gw->stop_timer, &tv);
 }
 
 bool gw_stopped(const struct gw *gw)
@@ -330,8 +348,38 @@
 	g_string_free(errors, TRUE);
 }
 
+static void end_shutdown(struct gw *gw)
+{
+	gw->stopped = true;
+	event_base_loopbreak(gw->base);
+}
+
+/* The grace period is nearly over: refuses what can't be read to its end any
+ * more, and then ends. */
+static void on_stop_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct gw *gw = arg;
+	int64_t left_ms = stop_at_ms(gw) - clock_boot_ms();
+	struct timeval tv = clock_timeval(MAX(left_ms, 0));
+	GString *headers;
+
+	(void)fd;
+	(void)what;
+	if (left_ms <= 0) {
+		end_shutdown(gw);
+		return;
+	}
+	headers = g_string_new(NULL);
+	wire_add_retry_after(headers, EXCH_PEER_RETRY_AFTER_MS);
+	wire_add_not_executed(headers);
+	inbound_stop_listening(gw->callers);
+	inbound_refuse_partial(gw->callers, headers->str);
+	g_string_free(headers, TRUE);
+	event_add(gw->stop_timer, &tv);
+}
+
 /* Advances a shutdown: keeps listening for a while, then ends once all
- * connections are closed or the grace period is over. */
+ * connections are closed. */
 static void advance_shutdown(struct gw *gw)
 {
 	int64_t elapsed_ms = clock_boot_ms() - gw->shutdown_started_ms;
@@ -348,10 +396,10 @@
 		tunnels_stop_listening(gw->tunnels);
 		conns += tunnels_count(gw->tunnels);
 	}
-	if (conns == 0 || elapsed_ms > grace_ms - EXIT_MARGIN_MS) {
-		gw->stopped = true;
-		event_base_loopbreak(gw->base);
-	}
+	if (gw->relay != NULL)
+		conns += relay_calls(gw->relay);
+	if (conns == 0)
+		end_shutdown(gw);
 }
 
 /* Logs totals since the start, so that rates can be read from the log alone. */
@@ -479,6 +527,7 @@
 	gw->signals[2] = evsignal_new(gw->base, SIGHUP, on_hup, gw);
 	for (size_t i = 0; i < G_N_ELEMENTS(gw->signals); i++)
 		event_add(gw->signals[i], NULL);
+	gw->stop_timer = evtimer_new(gw->base, on_stop_timer, gw);
 	gw->tick_timer = event_new(gw->base, -1, EV_PERSIST, on_tick, gw);
 	event_add(gw->tick_timer, &tv);
 }
@@ -533,6 +582,7 @@
 
 	config.epoch = (uint64_t)(g_get_real_time() / 1000);
 	shared->base = gw->base;
+	CDS_INIT_LIST_HEAD(&shared->all);
 	shared->memory = mem_create(gw->base, budget_bytes(settings));
 	shared->zone = settings->zone;
 	shared->contracts = contracts_parse(settings->contracts);
@@ -652,5 +702,7 @@
 	}
 	if (gw->tick_timer != NULL)
 		event_free(gw->tick_timer);
+	if (gw->stop_timer != NULL)
+		event_free(gw->stop_timer);
 	g_free(gw);
 }
--- a/serve/inbound.c
+++ b/serve/inbound.c
@@ -294,18 +294,23 @@
 			    framing, close_conn ? "Connection: close\r\n" : "");
 }
 
-static void reject_and_close(struct inbound_conn *conn, int status)
+static void reject_and_close(struct inbound_conn *conn, int status,
+			     const char *headers)
 {
-	char headers[40] = "";
-
 	drop_request(conn);
-	if (status == 503)
-		g_snprintf(headers, sizeof(headers), "Retry-After: %.1f\r\n",
-			   INBOUND_MEMORY_RETRY_AFTER_MS / 1000.0);
 	write_header(conn, status, headers, "Content-Length: 0\r\n", true);
 	close_after_response(conn);
 }
 
+static void reject_no_memory(struct inbound_conn *conn)
+{
+	char headers[40];
+
+	g_snprintf(headers, sizeof(headers), "Retry-After: %.1f\r\n",
+		   INBOUND_MEMORY_RETRY_AFTER_MS / 1000.0);
+	reject_and_close(conn, 503, headers);
+}
+
 static void dispatch_request(struct inbound_conn *conn)
 {
 	struct inbound_request *request = &conn->request;
@@ -335,7 +340,10 @@
 		note_rejected(conn, HEADER_CAUSE_MALFORMED);
 		conn->error_status = 400;
 	}
-	reject_and_close(conn, conn->error_status);
+	if (conn->error_status == 503)
+		reject_no_memory(conn);
+	else
+		reject_and_close(conn, conn->error_status, "");
 }
 
 /* Parses input up to the end of a request; @p conn may be freed afterwards. */
@@ -410,7 +418,7 @@
 	}
 	/* What the caller still sends must not reset the connection. */
 	bufferevent_enable(conn->bev, EV_READ);
-	reject_and_close(conn, 503);
+	reject_no_memory(conn);
 }
 
 static const struct mem_ops conn_memory = {on_set_reading, on_break_off,
@@ -475,12 +483,12 @@
 	case CONN_HEADER:
 		if (age_ms > conn->inbound->limits.header_timeout_ms &&
 		    !input_is_pending(conn->bev))
-			reject_and_close(conn, 408);
+			reject_and_close(conn, 408, "");
 		break;
 	case CONN_BODY:
 		if (age_ms > INBOUND_BODY_TIMEOUT_MS &&
 		    !input_is_pending(conn->bev))
-			reject_and_close(conn, 408);
+			reject_and_close(conn, 408, "");
 		break;
 	case CONN_FLUSH:
 		if (age_ms > INBOUND_BODY_TIMEOUT_MS)
@@ -606,6 +614,17 @@
 	}
 }
 
+void inbound_refuse_partial(struct inbound *inbound, const char *headers)
+{
+	struct inbound_conn *conn;
+	struct inbound_conn *next;
+
+	cds_list_for_each_entry_safe(conn, next, &inbound->conns, node) {
+		if (conn->state == CONN_HEADER || conn->state == CONN_BODY)
+			reject_and_close(conn, 503, headers);
+	}
+}
+
 void inbound_count(const struct inbound *inbound, guint *conns, guint *requests)
 {
 	*conns = inbound->count;
--- a/serve/inbound.h
+++ b/serve/inbound.h
@@ -80,6 +80,9 @@
 /** Closes connections without a request, not even a partial one, whose last
  * response has been written. */
 void inbound_close_idle(struct inbound *inbound);
+/** Answers requests that are only partly read with 503 and @p headers, and
+ * closes their connections. */
+void inbound_refuse_partial(struct inbound *inbound, const char *headers);
 /** Returns the number of open connections and of unanswered requests. */
 void inbound_count(const struct inbound *inbound, guint *conns,
 		   guint *requests);
--- a/serve/stats.c
+++ b/serve/stats.c
@@ -26,6 +26,7 @@
 	[STATS_REFUSED_VERSION] = "refused_total{cause=\"version unknown\"}",
 	[STATS_REFUSED_MARKED] = "refused_total{cause=\"marked\"}",
 	[STATS_REFUSED_MEMORY] = "refused_total{cause=\"memory\"}",
+	[STATS_REFUSED_STOPPING] = "refused_total{cause=\"stopping\"}",
 	[STATS_SENT] = "sent_total",
 	[STATS_SENT_AGAIN] = "sent_again_total",
 	[STATS_RESUMED] = "resumed_total",
--- a/serve/tunnel.c
+++ b/serve/tunnel.c
@@ -30,6 +30,7 @@
 	const struct fleet *fleet;
 	struct mem_budget *memory; /* or NULL */
 	GHashTable *all;	   /* set of struct tunnel */
+	int64_t end_at_ms;	   /* of this instance; 0: not known */
 };
 
 struct tunnel {
@@ -75,13 +76,16 @@
 	g_free(packed);
 }
 
-void tunnel_write_open(struct evbuffer *out, const char *server)
+void tunnel_write_open(struct evbuffer *out, const char *server,
+		       int64_t limit_ms)
 {
 	Rows__TunnelOpen message = ROWS__TUNNEL_OPEN__INIT;
 
 	message.server = (char *)server;
 	message.has_frames = true;
 	message.frames = true;
+	message.has_limit_ms = true;
+	message.limit_ms = (uint32_t)CLAMP(limit_ms, 0, G_MAXUINT32);
 	write_message(out, &message.base);
 }
 
@@ -297,12 +301,24 @@
 		refuse(tunnel);
 }
 
+/* Whether what an instance asks for ends before this one does. Requests of an
+ * earlier build may take any time. */
+static bool ends_in_time(const struct tunnels *tunnels,
+			 const Rows__TunnelOpen *message)
+{
+	if (tunnels->end_at_ms == 0)
+		return true;
+	return message->has_limit_ms &&
+	       clock_boot_ms() + message->limit_ms <= tunnels->end_at_ms;
+}
+
 /* Reads which server the instance asks for. */
 static void on_open(struct bufferevent *bev, void *arg)
 {
 	struct tunnel *tunnel = arg;
 	const struct fleet_server *server;
 	Rows__TunnelOpen *message;
+	bool in_time;
 	bool invalid;
 	size_t len;
 	uint8_t *packed;
@@ -323,9 +339,10 @@
 	}
 	tunnel->server_id = g_strdup(message->server);
 	tunnel->frames = message->frames;
+	in_time = ends_in_time(tunnel->tunnels, message);
 	rows__tunnel_open__free_unpacked(message, NULL);
 	server = fleet_find(tunnel->tunnels->fleet, tunnel->server_id);
-	if (server != NULL && !server->going_away)
+	if (server != NULL && !server->going_away && in_time)
 		connect_server(tunnel, server->address);
 	else
 		refuse(tunnel);
@@ -401,6 +418,11 @@
 	tunnels->memory = memory;
 }
 
+void tunnels_end_at(struct tunnels *tunnels, int64_t ms)
+{
+	tunnels->end_at_ms = ms;
+}
+
 void tunnels_stop_listening(struct tunnels *tunnels)
 {
 	g_clear_pointer(&tunnels->listener, evconnlistener_free);
--- a/serve/tunnel.h
+++ b/serve/tunnel.h
@@ -31,6 +31,9 @@
 /** Counts what is carried in @p memory. */
 void tunnels_set_memory(struct tunnels *tunnels, struct mem_budget *memory);
 void tunnels_destroy(struct tunnels *tunnels);
+/** This instance ends at @p ms, of CLOCK_BOOTTIME: from now on it carries only
+ * requests whose time limits end before that. */
+void tunnels_end_at(struct tunnels *tunnels, int64_t ms);
 /** Accepts no further connections. */
 void tunnels_stop_listening(struct tunnels *tunnels);
 /** Returns the number of connections that are carried. */
@@ -45,8 +48,10 @@
 	TUNNEL_REPLY_INVALID,
 };
 
-/** Writes the message that asks for a connection to @p server. */
-void tunnel_write_open(struct evbuffer *out, const char *server);
+/** Writes the message that asks for a connection to @p server, for a request
+ * whose time limit is @p limit_ms. */
+void tunnel_write_open(struct evbuffer *out, const char *server,
+		       int64_t limit_ms);
 /** Reads the response, and removes it from @p in. */
 enum tunnel_reply tunnel_read_reply(struct evbuffer *in);
 /** Reads the header of a frame, and removes it from @p in: returns its length,
--- a/serve/upstream.c
+++ b/serve/upstream.c
@@ -42,6 +42,7 @@
 	struct input_reader *reader;
 	struct upstream_call *call;
 	char *tunnel_server; /* id, if the connection is through a tunnel */
+	int64_t limit_ms;    /* of the request, for the tunnel */
 	bool frames;	     /* the tunnel's bytes come in frames */
 	size_t frame_left;   /* bytes of the present one that are not parsed */
 	bool ended;	     /* the tunnel says that the server has closed */
@@ -411,7 +412,7 @@
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 	if (conn->tunnel_server != NULL)
 		tunnel_write_open(bufferevent_get_output(conn->bev),
-				  conn->tunnel_server);
+				  conn->tunnel_server, conn->limit_ms);
 	else
 		on_connected(conn);
 }
@@ -530,6 +531,7 @@
 	conn->idle = request->idle;
 	if (request->tunnel != NULL)
 		conn->tunnel_server = g_strdup(request->server);
+	conn->limit_ms = request->limit_ms;
 	conn->reader = input_reader_create(&response_handler, conn);
 	mem_join(&conn->held, upstream->memory, &conn_memory);
 	conn->timer = evtimer_new(upstream->base, on_timer, conn);
--- a/serve/upstream.h
+++ b/serve/upstream.h
@@ -67,6 +67,7 @@
 	 * (see tunnel.h), or NULL: a direct connection. It is not kept. */
 	const char *tunnel;
 	const char *server; /**< id; needed with @p tunnel */
+	int64_t limit_ms;   /**< of the request; needed with @p tunnel */
 };
 
 struct upstream *upstream_create(struct event_base *base);
