--- a/serve/exchange_stop.c
+++ b/serve/exchange_stop.c
@@ -47,7 +47,7 @@
 
 static struct exch *find_unfit(const struct exch_shared *shared)
 {
-	struct exch *x;
+	struct exch *x = NULL;
 
 	cds_list_for_each_entry(x, &shared->all, node) {
 		if (!exch_may_send(x))
