turns: the result of a transaction concerns what that contains

Cause: what a transaction contained was noted as flags of the turns, and its result was taken over while handlers were called. One that ended its stream had the next transaction sent in the middle of that, which set the flags of turns whose time in the loop was still to come: the result of the first transaction counted for rows of the second one.

Change: a transaction is an object (struct turns_tx) with what it contains of each turn; its result concerns just that, once. All state is taken over before the first handler is called, and what handlers want written goes into one transaction after the last of them.

Ruled out: the store, and the index that other instances search: no row was there.

Related paths looked at (a handler called while its caller walks over a list, or with half of a state), all of serve/: grants, waiting turns, refusals of a program, turns that wait for the store, waiters for quota that are refused: all walk now so that a handler may end any other. Nothing found in the rows of crashes, abandoned attempts of roll-outs, shared reads, pages, the memory's holders, connections. Late replies report nothing.

--- a/serve/admission.c
+++ b/serve/admission.c
@@ -41,6 +41,8 @@
 	int64_t expires_ms;
 	adm_callback *callback;
 	void *arg;
+	enum adm_result refusal; /* once it has been decided on */
+	int64_t refusal_wait_ms;
 };
 
 static void serve_queue(struct queue *queue);
@@ -114,17 +116,46 @@
 	callback(arg, result, wait_ms);
 }
 
-/* Refuses a request that no instance lent a token for. If the tokens are at an
- * instance that did not answer, another one may reach it at once. */
-static void refuse(struct adm_waiter *waiter, int64_t wait_ms)
+/* Ends the waits of a list that is no part of the queue: a callback may cancel
+ * any other wait. */
+static void finish_all(struct cds_list_head *waiters)
+{
+	while (!cds_list_empty(waiters)) {
+		struct adm_waiter *waiter =
+			cds_list_first_entry(waiters, struct adm_waiter, node);
+
+		finish_wait(waiter, waiter->refusal, waiter->refusal_wait_ms);
+	}
+}
+
+static void mark_refused(struct adm_waiter *waiter, enum adm_result result,
+			 int64_t wait_ms, struct cds_list_head *refused)
+{
+	waiter->refusal = result;
+	waiter->refusal_wait_ms = wait_ms;
+	cds_list_del(&waiter->node);
+	cds_list_add_tail(&waiter->node, refused);
+}
+
+/* What becomes of a request that no instance lent a token for. If the tokens
+ * are at an instance that did not answer, another one may reach it at once. */
+static enum adm_result refusal_of(const struct adm_waiter *waiter,
+				  int64_t *wait_ms)
 {
 	const struct queue *queue = waiter->queue;
 
-	if (quota_is_elsewhere(queue->adm->quota, queue->account,
-			       &waiter->limit))
-		finish_wait(waiter, ADM_NO_CONTACT, NO_CONTACT_RETRY_MS);
-	else
-		finish_wait(waiter, ADM_OVER_LIMIT, wait_ms);
+	if (!quota_is_elsewhere(queue->adm->quota, queue->account,
+				&waiter->limit))
+		return ADM_OVER_LIMIT;
+	*wait_ms = NO_CONTACT_RETRY_MS;
+	return ADM_NO_CONTACT;
+}
+
+static void refuse(struct adm_waiter *waiter, int64_t wait_ms)
+{
+	enum adm_result result = refusal_of(waiter, &wait_ms);
+
+	finish_wait(waiter, result, wait_ms);
 }
 
 /* The first waiter that begins a program, or the first that does not; NULL if
@@ -223,12 +254,14 @@
 {
 	struct adm_waiter *waiter = NULL;
 	struct adm_waiter *next = NULL;
+	CDS_LIST_HEAD(refused);
 
 	cds_list_for_each_entry_safe(waiter, next, &queue->waiters, node) {
 		if (waiter->expires_ms < queue->ask_again_ms)
-			finish_wait(waiter, ADM_OVER_LIMIT,
-				    queue->ask_again_ms - now_ms);
+			mark_refused(waiter, ADM_OVER_LIMIT,
+				     queue->ask_again_ms - now_ms, &refused);
 	}
+	finish_all(&refused);
 }
 
 /*
@@ -240,18 +273,24 @@
 {
 	struct adm_waiter *waiter = NULL;
 	struct adm_waiter *next = NULL;
+	CDS_LIST_HEAD(refused);
 	double token_ms = (double)first_ms;
 
 	cds_list_for_each_entry_safe(waiter, next, &queue->waiters, node) {
 		if (waiter->begins != begins)
 			continue;
-		if (token_ms > (double)(waiter->expires_ms - now_ms))
-			refuse(waiter, (int64_t)token_ms);
-		else
+		if (token_ms > (double)(waiter->expires_ms - now_ms)) {
+			int64_t wait_ms = (int64_t)token_ms;
+			enum adm_result result = refusal_of(waiter, &wait_ms);
+
+			mark_refused(waiter, result, wait_ms, &refused);
+		} else {
 			token_ms += quota_interval_ms(queue->adm->quota,
 						      queue->account,
 						      &waiter->limit);
+		}
 	}
+	finish_all(&refused);
 }
 
 static void schedule_next(struct queue *queue, int64_t delay_ms)
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -91,9 +91,11 @@
 
 	slog("ended", x->call.id,
 	     "\"outcome\":\"%s\",\"status\":%d,\"ms\":%" G_GINT64_FORMAT
-	     ",\"server\":%s,\"sends\":%u,\"tokens\":%" G_GUINT64_FORMAT,
+	     ",\"server\":%s,\"sends\":%u,\"tokens\":%" G_GUINT64_FORMAT
+	     ",\"tx\":%" G_GUINT64_FORMAT,
 	     outcome, status, ms, slog_quote(x->server ? x->server->id : ""),
-	     x->retry.sends, x->tokens_used);
+	     x->retry.sends, x->tokens_used,
+	     x->turn != NULL ? turns_stored_by(x->turn) : 0);
 }
 
 void exch_reply_error(struct exch *x, int status, const char *cause,
--- a/serve/turns.c
+++ b/serve/turns.c
@@ -67,8 +67,7 @@
 {
 	struct program *program = p;
 
-	if (program->write_call != NULL)
-		store_cancel(program->write_call);
+	turns_tx_cancel(program);
 	if (program->read_call != NULL)
 		store_cancel(program->read_call);
 	event_free(program->retry_timer);
@@ -98,8 +97,8 @@
 {
 	int64_t idle_ms = now_ms - program->last_used_ms;
 
-	if (!cds_list_empty(&program->active_turns) ||
-	    program->write_call != NULL || program->read_call != NULL)
+	if (!cds_list_empty(&program->active_turns) || program->tx != NULL ||
+	    program->read_call != NULL)
 		return false;
 	if (program->budget.cap > 0 &&
 	    g_hash_table_size(program->turns->programs) <= CAPPED_PROGRAMS_MAX)
@@ -201,104 +200,73 @@
 	turn->handler->decided(turn->arg, verdict);
 }
 
-/* Grants the tokens of turns that the cap of this instance covers. */
-static void grant_covered(struct program *program)
+/* Returns the first turn whose serial is above @p after, up to @p last. */
+static struct turns_turn *find_turn(const struct program *program,
+				    uint64_t after, uint64_t last)
 {
 	struct turns_turn *turn;
-	struct turns_turn *next;
 
-	cds_list_for_each_entry_safe(turn, next, &program->active_turns, node) {
-		if (!turn->reserved || turn->granted || turn->settled ||
-		    program->budget.spent + program->budget.reserved >
-			    program->budget.cap)
-			continue;
-		turn->granted = true;
-		if (turn->decided)
-			turn->handler->granted(turn->arg);
+	cds_list_for_each_entry(turn, &program->active_turns, node) {
+		if (turn->serial > after)
+			return turn->serial <= last ? turn : NULL;
 	}
+	return NULL;
 }
 
-/* Decides again about each waiting turn; a callback may end only its own turn.
- */
-static void advance_waiting(struct program *program)
+/* Calls @p fn for each turn that is there now; it may end any of them. */
+static void for_each_turn(struct program *program,
+			  void (*fn)(struct turns_turn *turn))
 {
-	GPtrArray *waiting = g_ptr_array_new();
+	uint64_t last = program->turns->last_turn;
+	uint64_t after = 0;
 	struct turns_turn *turn;
 
-	cds_list_for_each_entry(turn, &program->active_turns, node) {
-		if (turn->waiting && !turn->decided)
-			g_ptr_array_add(waiting, turn);
-	}
-	for (guint i = 0; i < waiting->len; i++) {
-		turn = g_ptr_array_index(waiting, i);
-		turn->waiting = false;
-		turns_advance(turn);
+	while ((turn = find_turn(program, after, last)) != NULL) {
+		after = turn->serial;
+		fn(turn);
 	}
-	g_ptr_array_free(waiting, TRUE);
 }
 
-/* The store is unreachable: refuses waiting turns, unless they may wait for it.
- */
-static void refuse_waiting(struct program *program)
+/* Grants the tokens of a turn that the cap of this instance covers. */
+static void grant_if_covered(struct turns_turn *turn)
 {
-	struct turns_turn *turn;
-	struct turns_turn *next;
+	const struct budget *budget = &turn->program->budget;
 
-	cds_list_for_each_entry_safe(turn, next, &program->active_turns, node) {
-		if (!turn->decided && turn->waiting && !turns_stall(turn))
-			turns_report_verdict(turn, TURNS_UNAVAILABLE);
-	}
+	if (!turn->reserved || turn->granted || turn->settled ||
+	    budget->spent + budget->reserved > budget->cap)
+		return;
+	turn->granted = true;
+	if (turn->decided)
+		turn->handler->granted(turn->arg);
 }
 
-static bool rows_contain_turn(const struct turns_turn *turn, const GArray *rows)
+/* Decides again about a turn that waits. */
+static void advance_if_waiting(struct turns_turn *turn)
 {
-	for (guint i = 0; i < rows->len; i++) {
-		const struct store_row *row =
-			&g_array_index(rows, struct store_row, i);
-
-		if (strcmp(row->table, TURNS_TABLE) == 0 && row->version > 0 &&
-		    strcmp(row->key, turn->key) == 0)
-			return true;
-	}
-	return false;
+	if (!turn->waiting || turn->decided)
+		return;
+	turn->waiting = false;
+	turns_advance(turn);
 }
 
-static void finish_commit(struct turns_turn *turn)
+/* The store is unreachable: refuses a turn that waits, unless it may wait for
+ * the store. */
+static void refuse_if_waiting(struct turns_turn *turn)
 {
-	turn->writing = false;
-	turn->committed = true;
-	hist_put(turn->program->turns->history, turn->key,
-		 turn->copies_history ? "" : turn->previous, turn->program->key,
-		 turn->text, clock_boot_ms());
-	g_bytes_unref(turn->text);
-	turn->text = NULL;
-	stats_count(STATS_TURNS_KEPT);
-	turn->handler->committed(turn->arg);
+	if (!turn->decided && turn->waiting && !turns_stall(turn))
+		turns_report_verdict(turn, TURNS_UNAVAILABLE);
 }
 
-/* Takes over the budget row that a conflicting transaction returned. */
-static void apply_conflict(struct program *program,
-			   const struct store_response *reply)
+/* Tells the caller of a turn what has been stored of it. */
+static void report_written(struct turns_turn *turn)
 {
-	const struct store_row *budget = NULL;
-
-	stats_count(STATS_STORE_CONFLICTS);
-	for (guint i = 0; i < reply->rows->len; i++) {
-		const struct store_row *row =
-			&g_array_index(reply->rows, struct store_row, i);
-
-		if (strcmp(row->table, PROGRAMS_TABLE) == 0 &&
-		    strcmp(row->key, program->key) == 0)
-			budget = row;
+	if (turn->report_version) {
+		turn->report_version = false;
+		turn->handler->version_stored(turn->arg);
+	} else if (turn->report_stored) {
+		turn->report_stored = false;
+		turn->handler->committed(turn->arg);
 	}
-	if (!program->writing_budget)
-		return;
-	program->budget_version = 0;
-	if (budget != NULL)
-		turns_apply_budget_row(program, budget->value, budget->version,
-				       reply->sent_ms);
-	else
-		turns_apply_budget_row(program, NULL, 0, reply->sent_ms);
 }
 
 static void schedule_retry(struct program *program)
@@ -310,74 +278,27 @@
 		MIN(program->retry_delay_ms * 2, RETRY_MAX_MS);
 }
 
-/* Returns whether the handler was called, which may end the turn; the text of a
- * turn is written only after that. */
-static bool update_version(struct turns_turn *turn, enum store_status result)
-{
-	turn->writing_version = false;
-	turn->version_stored = result == STORE_OK;
-	if (turn->version_reported || result == STORE_CONFLICT ||
-	    (turn->version_needed && !turn->version_stored))
-		return false;
-	turn->version_reported = true;
-	turn->handler->version_stored(turn->arg);
-	return true;
-}
-
-/* Updates the turns of a transaction that has ended. */
-static void update_turns(struct program *program,
-			 const struct store_response *reply)
-{
-	struct turns_turn *turn;
-	struct turns_turn *next;
-
-	cds_list_for_each_entry_safe(turn, next, &program->active_turns, node) {
-		if (reply->result == STORE_OK)
-			turn->pieces_committed = turn->pieces_sent;
-		else
-			turn->pieces_sent = turn->pieces_committed;
-		if (turn->writing_version &&
-		    update_version(turn, reply->result))
-			continue;
-		if (!turn->writing)
-			continue;
-		turn->writing = false;
-		if (reply->result == STORE_OK ||
-		    (reply->result == STORE_CONFLICT &&
-		     rows_contain_turn(turn, reply->rows)))
-			finish_commit(turn);
-	}
-}
-
+/* The state of all turns is settled before the first handler is called, and
+ * what handlers want to be written goes into one transaction after that. */
 static void on_written(void *arg, const struct store_response *reply)
 {
 	struct program *program = arg;
+	bool failed = reply->result >= STORE_REFUSED;
 
-	program->write_call = NULL;
-	if (reply->result == STORE_OK) {
+	turns_tx_settle(program, reply);
+	if (reply->result == STORE_OK)
 		program->retry_delay_ms = RETRY_MIN_MS;
-		program->expires_ms =
-			MAX(program->expires_ms, program->writing_expires_ms);
-		if (program->writing_budget) {
-			program->budget_version = reply->version;
-			program->budget.cap = program->writing_cap;
-			program->budget.known = true;
-			program->budget_read_ms = reply->sent_ms;
-		}
-		stats_observe(STATS_COMMIT,
-			      clock_boot_ms() - program->write_started_ms);
-	} else if (reply->result == STORE_CONFLICT) {
-		apply_conflict(program, reply);
-	}
-	update_turns(program, reply);
-	if (reply->result >= STORE_REFUSED) {
-		if (!store_is_healthy(program->turns->store, program->part))
-			refuse_waiting(program);
+	if (failed)
 		schedule_retry(program);
-		return;
+	program->settling = true;
+	for_each_turn(program, report_written);
+	if (!failed) {
+		for_each_turn(program, grant_if_covered);
+		for_each_turn(program, advance_if_waiting);
+	} else if (!store_is_healthy(program->turns->store, program->part)) {
+		for_each_turn(program, refuse_if_waiting);
 	}
-	grant_covered(program);
-	advance_waiting(program);
+	program->settling = false;
 	program_flush(program);
 }
 
@@ -412,13 +333,12 @@
 /* Writes pending rows, one transaction at a time. */
 static void program_flush(struct program *program)
 {
-	struct store_tx *tx;
 	struct turns_turn *turn;
 	bool urgent;
 	bool has_rows = false;
 	uint64_t cap;
 
-	if (program->write_call != NULL ||
+	if (program->tx != NULL || program->settling ||
 	    evtimer_pending(program->retry_timer, NULL))
 		return;
 	cds_list_for_each_entry(turn, &program->active_turns, node)
@@ -427,10 +347,7 @@
 	cap = wanted_cap(program, &urgent);
 	if (!has_rows && (!urgent || cap <= program->budget.cap))
 		return;
-	tx = turns_build_tx(program, cap);
-	program->write_started_ms = clock_boot_ms();
-	program->write_call =
-		store_tx_send(program->turns->store, tx, on_written, program);
+	program->tx = turns_tx_send(program, cap, on_written);
 }
 
 static void on_budget_read(void *arg, const struct store_response *reply)
@@ -440,15 +357,15 @@
 
 	program->read_call = NULL;
 	if (reply->result != STORE_OK) {
-		refuse_waiting(program);
+		for_each_turn(program, refuse_if_waiting);
 		return;
 	}
 	if (reply->rows->len > 0)
 		row = &g_array_index(reply->rows, struct store_row, 0);
 	turns_apply_budget_row(program, row ? row->value : NULL,
 			       row ? row->version : 0, reply->sent_ms);
-	grant_covered(program);
-	advance_waiting(program);
+	for_each_turn(program, grant_if_covered);
+	for_each_turn(program, advance_if_waiting);
 	program_flush(program);
 }
 
@@ -525,6 +442,7 @@
 	struct turns_turn *turn = g_new0(struct turns_turn, 1);
 	char key[KEY_LEN];
 
+	turn->serial = ++turns->last_turn;
 	/* A turn without a program forms a program by itself. */
 	turns_program_key(key, request->account,
 			  request->program ? request->program : request->id);
@@ -591,6 +509,11 @@
 	program_flush(turn->program);
 }
 
+uint64_t turns_stored_by(const struct turns_turn *turn)
+{
+	return turn->stored_by;
+}
+
 uint64_t turns_history_size(const struct turns_turn *turn)
 {
 	return turn->chain != NULL ? hist_chain_size(turn->chain) : 0;
@@ -619,6 +542,7 @@
 	settle_budget(turn, used);
 	turn->program->last_used_ms = clock_boot_ms();
 	turns_leave_stalled(turn);
+	turns_tx_forget(turn);
 	cds_list_del(&turn->node);
 	g_ptr_array_free(turn->loads, TRUE);
 	hist_chain_destroy(turn->chain);
--- a/serve/turns.h
+++ b/serve/turns.h
@@ -86,6 +86,9 @@
 void turns_set_cut_off(struct turns *turns,
 		       bool (*is_cut_off)(void *arg, int64_t outage_ms),
 		       void *arg);
+/** Returns the number, in the log, of the transaction that has stored a turn;
+ * 0: it is not stored. */
+uint64_t turns_stored_by(const struct turns_turn *turn);
 /** Whether a turn waited because the store did not respond. */
 bool turns_has_stalled(const struct turns_turn *turn);
 /** Returns for how long the store has not responded to a turn's calls; 0: it
--- a/serve/turns_int.h
+++ b/serve/turns_int.h
@@ -2,10 +2,10 @@
  * @file turns_int.h
  * @brief Internal interface between the turns*.c files and the sweeper.
  *
- * turns.c decides about turns, turns_write.c builds the transactions that store
- * them, turns_load.c finds the history of a turn, turns_keep.c keeps the
- * programs that hold it from being removed, turns_read.c reads it in order,
- * turns_page.c bounds how much is read at a time,
+ * turns.c decides about turns, turns_write.c sends the transactions that store
+ * them and takes over their results, turns_load.c finds the history of a turn,
+ * turns_keep.c keeps the programs that hold it from being removed, turns_read.c
+ * reads it in order, turns_page.c bounds how much is read at a time,
  * turns_version.c the versions of streams, and turns_stall.c keeps turns that
  * wait until the store responds.
  */
@@ -45,6 +45,26 @@
 	RETENTION_MIN_MS = 600000,
 };
 
+/** What a transaction contains of one turn. */
+struct turns_written {
+	struct turns_turn *turn; /**< NULL: it has ended since */
+	uint32_t pieces; /**< rows of its text in the store with it, in all */
+	bool has_head;
+	bool has_version;
+};
+
+/** A transaction under way. Its result concerns just what it contains, whatever
+ * has happened since it was sent. */
+struct turns_tx {
+	uint64_t serial; /**< in the log */
+	struct store_call *call;
+	GArray *turns; /**< of struct turns_written */
+	bool has_budget;
+	uint64_t cap;	    /**< in the budget row */
+	int64_t expires_ms; /**< of the program's rows; 0: not written */
+	int64_t sent_ms;
+};
+
 /** The rows of one program, as known to this instance. */
 struct program {
 	struct turns *turns;
@@ -59,13 +79,11 @@
 	int64_t budget_read_ms; /* when the row was last known to be current */
 	Rows__Program *budget_row; /* as last read, or NULL */
 	struct cds_list_head active_turns;
-	struct store_call *write_call;
+	struct turns_tx *tx; /* under way, or NULL */
+	bool settling;	     /* a result is being handled; what is to be written
+			      * next is sent after that */
 	struct store_call *read_call;
-	uint64_t writing_cap;
-	bool writing_budget;
-	int64_t writing_expires_ms;
 	int64_t expires_ms; /* by the store's clock; 0: unknown */
-	int64_t write_started_ms;
 	struct event *retry_timer;
 	int64_t retry_delay_ms;
 	int64_t last_used_ms;
@@ -76,6 +94,8 @@
 	struct event_base *base;
 	struct store *store;
 	GHashTable *programs;
+	uint64_t last_turn; /* serial */
+	uint64_t last_tx;   /* serial */
 	struct hist *history;
 	struct event *eviction_timer;
 	struct cds_list_head stalled_turns;
@@ -124,7 +144,8 @@
 
 /** One turn in progress. */
 struct turns_turn {
-	struct cds_list_head node;
+	struct cds_list_head node; /* in active_turns, by serial */
+	uint64_t serial;
 	struct program *program;
 	char key[KEY_LEN];
 	char previous[KEY_LEN];
@@ -154,14 +175,13 @@
 	bool settled;		   /* the reservation is released */
 	GBytes *text;		   /* to be committed */
 	uint32_t pieces_committed; /* rows of the text in the store */
-	uint32_t pieces_sent;	   /* those and rows being written */
-	bool writing;		   /* in the current transaction */
-	bool committed;
+	uint64_t stored_by;	   /* transaction; 0: not stored yet */
+	bool report_stored;	   /* to the handler, as soon as possible */
 	char *version; /* that began the stream; NULL: not to be stored */
-	bool writing_version; /* in the current transaction */
 	bool version_stored;
 	bool version_needed;
 	bool version_reported; /* to the handler */
+	bool report_version;   /* to the handler, as soon as possible */
 };
 
 /** Hashes a name to a row key of KEY_LEN bytes: fixed length, nothing to
@@ -207,11 +227,22 @@
 void turns_apply_budget_row(struct program *program, GBytes *value,
 			    int64_t version, int64_t sent_ms);
 
-/** Packs the budget row as it was read, with the cap to be written for this
- * incarnation: fields of a later build stay. g_free() the result. */
-uint8_t *turns_pack_budget(const struct program *program, size_t *len);
-/** Builds the transaction with all pending rows of a program and its cap. */
-struct store_tx *turns_build_tx(struct program *program, uint64_t cap);
+/** Packs the budget row as it was read, with @p cap for this incarnation:
+ * fields of a later build stay. g_free() the result. */
+uint8_t *turns_pack_budget(const struct program *program, uint64_t cap,
+			   size_t *len);
+/** Sends a transaction with all pending rows of a program and its cap; its
+ * result goes to @p done. */
+struct turns_tx *turns_tx_send(struct program *program, uint64_t cap,
+			       store_done_fn *done);
+/** Takes the result of a transaction over into the program and its turns, and
+ * frees it; no handler is called before turns_report_written(). */
+void turns_tx_settle(struct program *program,
+		     const struct store_response *reply);
+/** Cancels the transaction under way, if any. */
+void turns_tx_cancel(struct program *program);
+/** A turn has ended: the result of a transaction does not concern it. */
+void turns_tx_forget(struct turns_turn *turn);
 
 /** Finds a turn's history; returns true once that is done. */
 bool turns_load_history(struct turns_turn *turn);
--- a/serve/turns_stall.c
+++ b/serve/turns_stall.c
@@ -75,18 +75,23 @@
 	turns_advance(turn);
 }
 
-/* A callback may end only its own turn. */
+/* A handler may end any turn, also one whose time has not come yet. */
 static void on_stall_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct turns *turns = arg;
 	struct timeval tv = clock_timeval(STALL_POLL_MS);
-	struct turns_turn *turn;
-	struct turns_turn *next;
+	CDS_LIST_HEAD(due);
 
 	(void)fd;
 	(void)what;
-	cds_list_for_each_entry_safe(turn, next, &turns->stalled_turns,
-				     stalled_node) {
+	cds_list_splice(&turns->stalled_turns, &due);
+	CDS_INIT_LIST_HEAD(&turns->stalled_turns);
+	while (!cds_list_empty(&due)) {
+		struct turns_turn *turn = cds_list_first_entry(
+			&due, struct turns_turn, stalled_node);
+
+		cds_list_del(&turn->stalled_node);
+		cds_list_add_tail(&turn->stalled_node, &turns->stalled_turns);
 		if (!may_wait(turn))
 			turns_report_verdict(turn, TURNS_UNAVAILABLE);
 		else
--- a/test/unit/test_builds.c
+++ b/test/unit/test_builds.c
@@ -72,8 +72,7 @@
 
 static void test_fields_of_a_later_build_stay_in_the_budget(void **state)
 {
-	struct program program = {.incarnation = OWN,
-				  .writing_cap = OWN_TOKENS};
+	struct program program = {.incarnation = OWN};
 	GBytes *later = later_budget_row();
 	Rows__Program *row;
 	uint8_t *packed;
@@ -82,7 +81,7 @@
 	(void)state;
 	turns_apply_budget_row(&program, later, 1, 0);
 	assert_int_equal(program.budget.others, FORMER_TOKENS);
-	packed = turns_pack_budget(&program, &len);
+	packed = turns_pack_budget(&program, OWN_TOKENS, &len);
 	row = rows__program__unpack(NULL, len, packed);
 	assert_non_null(row);
 	assert_has(&row->base, later_field);
