--- a/proto/rows.pb-c.c
+++ b/proto/rows.pb-c.c
@@ -952,6 +952,276 @@
   assert(message->base.descriptor == &rows__tunnel_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rows__copy_event__init
+                     (Rows__CopyEvent         *message)
+{
+  static const Rows__CopyEvent init_value = ROWS__COPY_EVENT__INIT;
+  *message = init_value;
+}
+size_t rows__copy_event__get_packed_size
+                     (const Rows__CopyEvent *message)
+{
+  assert(message->base.descriptor == &rows__copy_event__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rows__copy_event__pack
+                     (const Rows__CopyEvent *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rows__copy_event__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rows__copy_event__pack_to_buffer
+                     (const Rows__CopyEvent *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rows__copy_event__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rows__CopyEvent *
+       rows__copy_event__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rows__CopyEvent *)
+     protobuf_c_message_unpack (&rows__copy_event__descriptor,
+                                allocator, len, data);
+}
+void   rows__copy_event__free_unpacked
+                     (Rows__CopyEvent *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rows__copy_event__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rows__copy_stream__init
+                     (Rows__CopyStream         *message)
+{
+  static const Rows__CopyStream init_value = ROWS__COPY_STREAM__INIT;
+  *message = init_value;
+}
+size_t rows__copy_stream__get_packed_size
+                     (const Rows__CopyStream *message)
+{
+  assert(message->base.descriptor == &rows__copy_stream__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rows__copy_stream__pack
+                     (const Rows__CopyStream *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rows__copy_stream__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rows__copy_stream__pack_to_buffer
+                     (const Rows__CopyStream *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rows__copy_stream__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rows__CopyStream *
+       rows__copy_stream__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rows__CopyStream *)
+     protobuf_c_message_unpack (&rows__copy_stream__descriptor,
+                                allocator, len, data);
+}
+void   rows__copy_stream__free_unpacked
+                     (Rows__CopyStream *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rows__copy_stream__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rows__copy__init
+                     (Rows__Copy         *message)
+{
+  static const Rows__Copy init_value = ROWS__COPY__INIT;
+  *message = init_value;
+}
+size_t rows__copy__get_packed_size
+                     (const Rows__Copy *message)
+{
+  assert(message->base.descriptor == &rows__copy__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rows__copy__pack
+                     (const Rows__Copy *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rows__copy__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rows__copy__pack_to_buffer
+                     (const Rows__Copy *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rows__copy__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rows__Copy *
+       rows__copy__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rows__Copy *)
+     protobuf_c_message_unpack (&rows__copy__descriptor,
+                                allocator, len, data);
+}
+void   rows__copy__free_unpacked
+                     (Rows__Copy *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rows__copy__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rows__copy_query__init
+                     (Rows__CopyQuery         *message)
+{
+  static const Rows__CopyQuery init_value = ROWS__COPY_QUERY__INIT;
+  *message = init_value;
+}
+size_t rows__copy_query__get_packed_size
+                     (const Rows__CopyQuery *message)
+{
+  assert(message->base.descriptor == &rows__copy_query__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rows__copy_query__pack
+                     (const Rows__CopyQuery *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rows__copy_query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rows__copy_query__pack_to_buffer
+                     (const Rows__CopyQuery *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rows__copy_query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rows__CopyQuery *
+       rows__copy_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rows__CopyQuery *)
+     protobuf_c_message_unpack (&rows__copy_query__descriptor,
+                                allocator, len, data);
+}
+void   rows__copy_query__free_unpacked
+                     (Rows__CopyQuery *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rows__copy_query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rows__copy_reply__init
+                     (Rows__CopyReply         *message)
+{
+  static const Rows__CopyReply init_value = ROWS__COPY_REPLY__INIT;
+  *message = init_value;
+}
+size_t rows__copy_reply__get_packed_size
+                     (const Rows__CopyReply *message)
+{
+  assert(message->base.descriptor == &rows__copy_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rows__copy_reply__pack
+                     (const Rows__CopyReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rows__copy_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rows__copy_reply__pack_to_buffer
+                     (const Rows__CopyReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rows__copy_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rows__CopyReply *
+       rows__copy_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rows__CopyReply *)
+     protobuf_c_message_unpack (&rows__copy_reply__descriptor,
+                                allocator, len, data);
+}
+void   rows__copy_reply__free_unpacked
+                     (Rows__CopyReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rows__copy_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rows__copy_frame__init
+                     (Rows__CopyFrame         *message)
+{
+  static const Rows__CopyFrame init_value = ROWS__COPY_FRAME__INIT;
+  *message = init_value;
+}
+size_t rows__copy_frame__get_packed_size
+                     (const Rows__CopyFrame *message)
+{
+  assert(message->base.descriptor == &rows__copy_frame__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rows__copy_frame__pack
+                     (const Rows__CopyFrame *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rows__copy_frame__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rows__copy_frame__pack_to_buffer
+                     (const Rows__CopyFrame *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rows__copy_frame__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rows__CopyFrame *
+       rows__copy_frame__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rows__CopyFrame *)
+     protobuf_c_message_unpack (&rows__copy_frame__descriptor,
+                                allocator, len, data);
+}
+void   rows__copy_frame__free_unpacked
+                     (Rows__CopyFrame *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rows__copy_frame__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rows__datagram__init
                      (Rows__Datagram         *message)
 {
@@ -1807,7 +2077,7 @@
   (ProtobufCMessageInit) rows__rollout_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rows__member__field_descriptors[5] =
+static const ProtobufCFieldDescriptor rows__member__field_descriptors[6] =
 {
   {
     "address",
@@ -1869,10 +2139,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "copies",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Member, copies),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rows__member__field_indices_by_name[] = {
   0,   /* field[0] = address */
   3,   /* field[3] = beat */
+  5,   /* field[5] = copies */
   2,   /* field[2] = incarnation */
   4,   /* field[4] = relay */
   1,   /* field[1] = zone */
@@ -1880,7 +2163,7 @@
 static const ProtobufCIntRange rows__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor rows__member__descriptor =
 {
@@ -1890,7 +2173,7 @@
   "Rows__Member",
   "rows",
   sizeof(Rows__Member),
-  5,
+  6,
   rows__member__field_descriptors,
   rows__member__field_indices_by_name,
   1,  rows__member__number_ranges,
@@ -2753,7 +3036,7 @@
   (ProtobufCMessageInit) rows__lend__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rows__tunnel_open__field_descriptors[3] =
+static const ProtobufCFieldDescriptor rows__tunnel_open__field_descriptors[4] =
 {
   {
     "server",
@@ -2791,8 +3074,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "copies",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Rows__TunnelOpen, has_copies),
+    offsetof(Rows__TunnelOpen, copies),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rows__tunnel_open__field_indices_by_name[] = {
+  3,   /* field[3] = copies */
   1,   /* field[1] = frames */
   2,   /* field[2] = limit_ms */
   0,   /* field[0] = server */
@@ -2800,7 +3096,7 @@
 static const ProtobufCIntRange rows__tunnel_open__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor rows__tunnel_open__descriptor =
 {
@@ -2810,7 +3106,7 @@
   "Rows__TunnelOpen",
   "rows",
   sizeof(Rows__TunnelOpen),
-  3,
+  4,
   rows__tunnel_open__field_descriptors,
   rows__tunnel_open__field_indices_by_name,
   1,  rows__tunnel_open__number_ranges,
@@ -2868,6 +3164,559 @@
   (ProtobufCMessageInit) rows__tunnel_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rows__copy_event__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rows__CopyEvent, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Rows__CopyEvent, has_data),
+    offsetof(Rows__CopyEvent, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rows__copy_event__field_indices_by_name[] = {
+  1,   /* field[1] = data */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange rows__copy_event__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rows__copy_event__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rows.CopyEvent",
+  "CopyEvent",
+  "Rows__CopyEvent",
+  "rows",
+  sizeof(Rows__CopyEvent),
+  2,
+  rows__copy_event__field_descriptors,
+  rows__copy_event__field_indices_by_name,
+  1,  rows__copy_event__number_ranges,
+  (ProtobufCMessageInit) rows__copy_event__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rows__copy_stream__field_descriptors[6] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Rows__CopyStream, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Rows__CopyStream, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rows__CopyStream, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keep_ms",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rows__CopyStream, keep_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first",
+    5,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Rows__CopyStream, first),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "generation",
+    6,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rows__CopyStream, generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rows__copy_stream__field_indices_by_name[] = {
+  1,   /* field[1] = attempt */
+  4,   /* field[4] = first */
+  5,   /* field[5] = generation */
+  3,   /* field[3] = keep_ms */
+  0,   /* field[0] = stream */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange rows__copy_stream__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor rows__copy_stream__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rows.CopyStream",
+  "CopyStream",
+  "Rows__CopyStream",
+  "rows",
+  sizeof(Rows__CopyStream),
+  6,
+  rows__copy_stream__field_descriptors,
+  rows__copy_stream__field_indices_by_name,
+  1,  rows__copy_stream__number_ranges,
+  (ProtobufCMessageInit) rows__copy_stream__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rows__copy__field_descriptors[5] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Copy, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Rows__Copy, stream),
+    &rows__copy_stream__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "events",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rows__Copy, n_events),
+    offsetof(Rows__Copy, events),
+    &rows__copy_event__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Rows__Copy, has_ended),
+    offsetof(Rows__Copy, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "released",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Rows__Copy, has_released),
+    offsetof(Rows__Copy, released),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rows__copy__field_indices_by_name[] = {
+  3,   /* field[3] = ended */
+  2,   /* field[2] = events */
+  0,   /* field[0] = number */
+  4,   /* field[4] = released */
+  1,   /* field[1] = stream */
+};
+static const ProtobufCIntRange rows__copy__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor rows__copy__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rows.Copy",
+  "Copy",
+  "Rows__Copy",
+  "rows",
+  sizeof(Rows__Copy),
+  5,
+  rows__copy__field_descriptors,
+  rows__copy__field_indices_by_name,
+  1,  rows__copy__number_ranges,
+  (ProtobufCMessageInit) rows__copy__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rows__copy_query__field_descriptors[4] =
+{
+  {
+    "serial",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rows__CopyQuery, serial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Rows__CopyQuery, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Rows__CopyQuery, has_attempt),
+    offsetof(Rows__CopyQuery, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "after_event",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rows__CopyQuery, after_event),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rows__copy_query__field_indices_by_name[] = {
+  3,   /* field[3] = after_event */
+  2,   /* field[2] = attempt */
+  0,   /* field[0] = serial */
+  1,   /* field[1] = stream */
+};
+static const ProtobufCIntRange rows__copy_query__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rows__copy_query__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rows.CopyQuery",
+  "CopyQuery",
+  "Rows__CopyQuery",
+  "rows",
+  sizeof(Rows__CopyQuery),
+  4,
+  rows__copy_query__field_descriptors,
+  rows__copy_query__field_indices_by_name,
+  1,  rows__copy_query__number_ranges,
+  (ProtobufCMessageInit) rows__copy_query__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rows__copy_reply__field_descriptors[11] =
+{
+  {
+    "serial",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rows__CopyReply, serial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rows__CopyReply, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rows__CopyReply, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Rows__CopyReply, has_text),
+    offsetof(Rows__CopyReply, text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "more",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Rows__CopyReply, has_more),
+    offsetof(Rows__CopyReply, more),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_event",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_SINT64,
+    offsetof(Rows__CopyReply, has_last_event),
+    offsetof(Rows__CopyReply, last_event),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Rows__CopyReply, has_ended),
+    offsetof(Rows__CopyReply, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Rows__CopyReply, has_age_ms),
+    offsetof(Rows__CopyReply, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    9,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Rows__CopyReply, has_attempt),
+    offsetof(Rows__CopyReply, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Rows__CopyReply, has_first),
+    offsetof(Rows__CopyReply, first),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "generation",
+    11,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Rows__CopyReply, has_generation),
+    offsetof(Rows__CopyReply, generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rows__copy_reply__field_indices_by_name[] = {
+  7,   /* field[7] = age_ms */
+  8,   /* field[8] = attempt */
+  6,   /* field[6] = ended */
+  9,   /* field[9] = first */
+  10,   /* field[10] = generation */
+  5,   /* field[5] = last_event */
+  4,   /* field[4] = more */
+  1,   /* field[1] = result */
+  0,   /* field[0] = serial */
+  3,   /* field[3] = text */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange rows__copy_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor rows__copy_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rows.CopyReply",
+  "CopyReply",
+  "Rows__CopyReply",
+  "rows",
+  sizeof(Rows__CopyReply),
+  11,
+  rows__copy_reply__field_descriptors,
+  rows__copy_reply__field_indices_by_name,
+  1,  rows__copy_reply__number_ranges,
+  (ProtobufCMessageInit) rows__copy_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rows__copy_frame__field_descriptors[3] =
+{
+  {
+    "copy",
+    1,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Rows__CopyFrame, copy),
+    &rows__copy__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "query",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Rows__CopyFrame, query),
+    &rows__copy_query__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Rows__CopyFrame, reply),
+    &rows__copy_reply__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rows__copy_frame__field_indices_by_name[] = {
+  0,   /* field[0] = copy */
+  1,   /* field[1] = query */
+  2,   /* field[2] = reply */
+};
+static const ProtobufCIntRange rows__copy_frame__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rows__copy_frame__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rows.CopyFrame",
+  "CopyFrame",
+  "Rows__CopyFrame",
+  "rows",
+  sizeof(Rows__CopyFrame),
+  3,
+  rows__copy_frame__field_descriptors,
+  rows__copy_frame__field_indices_by_name,
+  1,  rows__copy_frame__number_ranges,
+  (ProtobufCMessageInit) rows__copy_frame__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor rows__datagram__field_descriptors[4] =
 {
   {
--- a/proto/rows.pb-c.h
+++ b/proto/rows.pb-c.h
@@ -36,6 +36,12 @@
 typedef struct Rows__Lend Rows__Lend;
 typedef struct Rows__TunnelOpen Rows__TunnelOpen;
 typedef struct Rows__TunnelReply Rows__TunnelReply;
+typedef struct Rows__CopyEvent Rows__CopyEvent;
+typedef struct Rows__CopyStream Rows__CopyStream;
+typedef struct Rows__Copy Rows__Copy;
+typedef struct Rows__CopyQuery Rows__CopyQuery;
+typedef struct Rows__CopyReply Rows__CopyReply;
+typedef struct Rows__CopyFrame Rows__CopyFrame;
 typedef struct Rows__Datagram Rows__Datagram;
 
 
@@ -306,10 +312,14 @@
    * HOST:PORT that relays requests to the store
    */
   char *relay;
+  /*
+   * HOST:PORT that takes copies of streams
+   */
+  char *copies;
 };
 #define ROWS__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rows__member__descriptor) \
-    , NULL, NULL, 0, 0, NULL }
+    , NULL, NULL, 0, 0, NULL, NULL }
 
 
 /*
@@ -589,10 +599,17 @@
    */
   protobuf_c_boolean has_limit_ms;
   uint32_t limit_ms;
+  /*
+   * the connection carries no server's bytes but copies of streams: after the
+   * response both sides send CopyFrame, four bytes of length in network order
+   * before each; server is empty
+   */
+  protobuf_c_boolean has_copies;
+  protobuf_c_boolean copies;
 };
 #define ROWS__TUNNEL_OPEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rows__tunnel_open__descriptor) \
-    , NULL, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -616,6 +633,182 @@
     , 0, 0, 0 }
 
 
+/*
+ * An event of a stream, or several, whose last one has this id.
+ */
+struct  Rows__CopyEvent
+{
+  ProtobufCMessage base;
+  /*
+   * -1: none
+   */
+  int64_t id;
+  /*
+   * absent: it has none
+   */
+  protobuf_c_boolean has_data;
+  ProtobufCBinaryData data;
+};
+#define ROWS__COPY_EVENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rows__copy_event__descriptor) \
+    , 0, 0, {0,NULL} }
+
+
+/*
+ * Names a stream that an instance passes on to its caller.
+ */
+struct  Rows__CopyStream
+{
+  ProtobufCMessage base;
+  /*
+   * hash, equal for all attempts of the caller
+   */
+  ProtobufCBinaryData stream;
+  /*
+   * hash
+   */
+  ProtobufCBinaryData attempt;
+  /*
+   * software version of its server
+   */
+  char *version;
+  /*
+   * for how long the copy is kept at its end
+   */
+  uint32_t keep_ms;
+  /*
+   * hash of the attempt that brought the first event
+   */
+  ProtobufCBinaryData first;
+  /*
+   * attempts that this one follows
+   */
+  uint32_t generation;
+};
+#define ROWS__COPY_STREAM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rows__copy_stream__descriptor) \
+    , {0,NULL}, {0,NULL}, NULL, 0, {0,NULL}, 0 }
+
+
+/*
+ * What has been passed on of a stream since the last message about it.
+ */
+struct  Rows__Copy
+{
+  ProtobufCMessage base;
+  /*
+   * of the stream, on this connection
+   */
+  uint32_t number;
+  /*
+   * in the first message
+   */
+  Rows__CopyStream *stream;
+  size_t n_events;
+  Rows__CopyEvent **events;
+  /*
+   * the stream is complete
+   */
+  protobuf_c_boolean has_ended;
+  protobuf_c_boolean ended;
+  /*
+   * nothing more will be passed on
+   */
+  protobuf_c_boolean has_released;
+  protobuf_c_boolean released;
+};
+#define ROWS__COPY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rows__copy__descriptor) \
+    , 0, NULL, 0,NULL, 0, 0, 0, 0 }
+
+
+/*
+ * Asks what is known of a stream.
+ */
+struct  Rows__CopyQuery
+{
+  ProtobufCMessage base;
+  uint32_t serial;
+  ProtobufCBinaryData stream;
+  /*
+   * absent: not known
+   */
+  protobuf_c_boolean has_attempt;
+  ProtobufCBinaryData attempt;
+  /*
+   * the last one that the caller has
+   */
+  int64_t after_event;
+};
+#define ROWS__COPY_QUERY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rows__copy_query__descriptor) \
+    , 0, {0,NULL}, 0, {0,NULL}, 0 }
+
+
+/*
+ * Response, in one message or several.
+ */
+struct  Rows__CopyReply
+{
+  ProtobufCMessage base;
+  uint32_t serial;
+  /*
+   * enum scopy_result
+   */
+  uint32_t result;
+  char *version;
+  /*
+   * data of the caller's events, a part of it
+   */
+  protobuf_c_boolean has_text;
+  ProtobufCBinaryData text;
+  /*
+   * of that follows
+   */
+  protobuf_c_boolean has_more;
+  protobuf_c_boolean more;
+  /*
+   * that is known
+   */
+  protobuf_c_boolean has_last_event;
+  int64_t last_event;
+  /*
+   * it is the end of the stream
+   */
+  protobuf_c_boolean has_ended;
+  protobuf_c_boolean ended;
+  /*
+   * of the copy's last change
+   */
+  protobuf_c_boolean has_age_ms;
+  uint32_t age_ms;
+  /*
+   * of the copy, unless nothing is known
+   */
+  protobuf_c_boolean has_attempt;
+  ProtobufCBinaryData attempt;
+  protobuf_c_boolean has_first;
+  ProtobufCBinaryData first;
+  protobuf_c_boolean has_generation;
+  uint32_t generation;
+};
+#define ROWS__COPY_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rows__copy_reply__descriptor) \
+    , 0, 0, NULL, 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, {0,NULL}, 0, 0 }
+
+
+struct  Rows__CopyFrame
+{
+  ProtobufCMessage base;
+  Rows__Copy *copy;
+  Rows__CopyQuery *query;
+  Rows__CopyReply *reply;
+};
+#define ROWS__COPY_FRAME__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rows__copy_frame__descriptor) \
+    , NULL, NULL, NULL }
+
+
 struct  Rows__Datagram
 {
   ProtobufCMessage base;
@@ -1029,6 +1222,120 @@
 void   rows__tunnel_reply__free_unpacked
                      (Rows__TunnelReply *message,
                       ProtobufCAllocator *allocator);
+/* Rows__CopyEvent methods */
+void   rows__copy_event__init
+                     (Rows__CopyEvent         *message);
+size_t rows__copy_event__get_packed_size
+                     (const Rows__CopyEvent   *message);
+size_t rows__copy_event__pack
+                     (const Rows__CopyEvent   *message,
+                      uint8_t             *out);
+size_t rows__copy_event__pack_to_buffer
+                     (const Rows__CopyEvent   *message,
+                      ProtobufCBuffer     *buffer);
+Rows__CopyEvent *
+       rows__copy_event__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rows__copy_event__free_unpacked
+                     (Rows__CopyEvent *message,
+                      ProtobufCAllocator *allocator);
+/* Rows__CopyStream methods */
+void   rows__copy_stream__init
+                     (Rows__CopyStream         *message);
+size_t rows__copy_stream__get_packed_size
+                     (const Rows__CopyStream   *message);
+size_t rows__copy_stream__pack
+                     (const Rows__CopyStream   *message,
+                      uint8_t             *out);
+size_t rows__copy_stream__pack_to_buffer
+                     (const Rows__CopyStream   *message,
+                      ProtobufCBuffer     *buffer);
+Rows__CopyStream *
+       rows__copy_stream__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rows__copy_stream__free_unpacked
+                     (Rows__CopyStream *message,
+                      ProtobufCAllocator *allocator);
+/* Rows__Copy methods */
+void   rows__copy__init
+                     (Rows__Copy         *message);
+size_t rows__copy__get_packed_size
+                     (const Rows__Copy   *message);
+size_t rows__copy__pack
+                     (const Rows__Copy   *message,
+                      uint8_t             *out);
+size_t rows__copy__pack_to_buffer
+                     (const Rows__Copy   *message,
+                      ProtobufCBuffer     *buffer);
+Rows__Copy *
+       rows__copy__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rows__copy__free_unpacked
+                     (Rows__Copy *message,
+                      ProtobufCAllocator *allocator);
+/* Rows__CopyQuery methods */
+void   rows__copy_query__init
+                     (Rows__CopyQuery         *message);
+size_t rows__copy_query__get_packed_size
+                     (const Rows__CopyQuery   *message);
+size_t rows__copy_query__pack
+                     (const Rows__CopyQuery   *message,
+                      uint8_t             *out);
+size_t rows__copy_query__pack_to_buffer
+                     (const Rows__CopyQuery   *message,
+                      ProtobufCBuffer     *buffer);
+Rows__CopyQuery *
+       rows__copy_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rows__copy_query__free_unpacked
+                     (Rows__CopyQuery *message,
+                      ProtobufCAllocator *allocator);
+/* Rows__CopyReply methods */
+void   rows__copy_reply__init
+                     (Rows__CopyReply         *message);
+size_t rows__copy_reply__get_packed_size
+                     (const Rows__CopyReply   *message);
+size_t rows__copy_reply__pack
+                     (const Rows__CopyReply   *message,
+                      uint8_t             *out);
+size_t rows__copy_reply__pack_to_buffer
+                     (const Rows__CopyReply   *message,
+                      ProtobufCBuffer     *buffer);
+Rows__CopyReply *
+       rows__copy_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rows__copy_reply__free_unpacked
+                     (Rows__CopyReply *message,
+                      ProtobufCAllocator *allocator);
+/* Rows__CopyFrame methods */
+void   rows__copy_frame__init
+                     (Rows__CopyFrame         *message);
+size_t rows__copy_frame__get_packed_size
+                     (const Rows__CopyFrame   *message);
+size_t rows__copy_frame__pack
+                     (const Rows__CopyFrame   *message,
+                      uint8_t             *out);
+size_t rows__copy_frame__pack_to_buffer
+                     (const Rows__CopyFrame   *message,
+                      ProtobufCBuffer     *buffer);
+Rows__CopyFrame *
+       rows__copy_frame__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rows__copy_frame__free_unpacked
+                     (Rows__CopyFrame *message,
+                      ProtobufCAllocator *allocator);
 /* Rows__Datagram methods */
 void   rows__datagram__init
                      (Rows__Datagram         *message);
@@ -1113,6 +1420,24 @@
 typedef void (*Rows__TunnelReply_Closure)
                  (const Rows__TunnelReply *message,
                   void *closure_data);
+typedef void (*Rows__CopyEvent_Closure)
+                 (const Rows__CopyEvent *message,
+                  void *closure_data);
+typedef void (*Rows__CopyStream_Closure)
+                 (const Rows__CopyStream *message,
+                  void *closure_data);
+typedef void (*Rows__Copy_Closure)
+                 (const Rows__Copy *message,
+                  void *closure_data);
+typedef void (*Rows__CopyQuery_Closure)
+                 (const Rows__CopyQuery *message,
+                  void *closure_data);
+typedef void (*Rows__CopyReply_Closure)
+                 (const Rows__CopyReply *message,
+                  void *closure_data);
+typedef void (*Rows__CopyFrame_Closure)
+                 (const Rows__CopyFrame *message,
+                  void *closure_data);
 typedef void (*Rows__Datagram_Closure)
                  (const Rows__Datagram *message,
                   void *closure_data);
@@ -1144,6 +1469,12 @@
 extern const ProtobufCMessageDescriptor rows__lend__descriptor;
 extern const ProtobufCMessageDescriptor rows__tunnel_open__descriptor;
 extern const ProtobufCMessageDescriptor rows__tunnel_reply__descriptor;
+extern const ProtobufCMessageDescriptor rows__copy_event__descriptor;
+extern const ProtobufCMessageDescriptor rows__copy_stream__descriptor;
+extern const ProtobufCMessageDescriptor rows__copy__descriptor;
+extern const ProtobufCMessageDescriptor rows__copy_query__descriptor;
+extern const ProtobufCMessageDescriptor rows__copy_reply__descriptor;
+extern const ProtobufCMessageDescriptor rows__copy_frame__descriptor;
 extern const ProtobufCMessageDescriptor rows__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -2,7 +2,6 @@
 #include <string.h>
 
 #include "clock.h"
-#include "decide/versions.h"
 #include "exchange_int.h"
 #include "platform/wire.h"
 #include "slog.h"
@@ -53,8 +52,7 @@
 	if (x->waiter != NULL)
 		adm_cancel(x->waiter);
 	exch_cancel_acquire(x);
-	if (x->search != NULL)
-		turns_cancel_search(x->search);
+	exch_cancel_resume(x);
 	if (x->turn != NULL)
 		turns_end(x->turn, x->tokens_used);
 	if (x->deadline_timer != NULL)
@@ -149,11 +147,6 @@
 	inbound_abort(request);
 }
 
-int64_t exch_version_window_ms(const struct exch *x)
-{
-	return x->route->timeout_ms + VERSIONS_SKEW_MS;
-}
-
 void exch_set_timer(struct event *timer, int64_t ms)
 {
 	struct timeval tv = clock_timeval(ms);
@@ -256,8 +249,7 @@
 	turns_begin(x->shared->turns, &request, &turn_handler, x, &x->turn);
 }
 
-/* Starts a request through its turn, or directly to a server. */
-static void start(struct exch *x)
+void exch_start_turn(struct exch *x)
 {
 	if (x->route->kind == CAT_STREAM && x->call.has_budget &&
 	    x->call.budget == 0) {
@@ -273,55 +265,6 @@
 	exch_send(x);
 }
 
-static void on_version_found(void *arg, enum turns_found found,
-			     const char *version)
-{
-	struct exch *x = arg;
-
-	x->search = NULL;
-	if (found == TURNS_UNREADABLE) {
-		exch_refuse(x, STATS_REFUSED_STORE, 503, "store away",
-			    exch_store_retry_after_ms(x));
-		return;
-	}
-	if (found == TURNS_NO_RECORD)
-		version = fleet_unrecorded_version(
-			x->shared->fleet, x->service->name,
-			exch_version_window_ms(x), clock_boot_ms());
-	slog("resumes", x->call.id,
-	     "\"attempt\":%s,\"after_event\":%" G_GINT64_FORMAT
-	     ",\"version\":%s,\"recorded\":%s",
-	     slog_quote(x->call.resumes ? x->call.resumes : ""),
-	     x->call.last_event_id, slog_quote(version ? version : ""),
-	     found == TURNS_FOUND ? "true" : "false");
-	if (version == NULL) {
-		exch_refuse(x, STATS_REFUSED_VERSION, 503, "version unknown",
-			    EXCH_PEER_RETRY_AFTER_MS);
-		return;
-	}
-	x->version = g_strdup(version);
-	start(x);
-}
-
-/* Starts an admitted request. A stream that its caller takes up goes on only at
- * the version that began it. */
-void exch_start_admitted(struct exch *x)
-{
-	if (x->route->kind != CAT_STREAM || x->call.last_event_id < 0) {
-		start(x);
-		return;
-	}
-	if (x->call.resumes == NULL) {
-		on_version_found(x, TURNS_NO_RECORD, NULL);
-		return;
-	}
-	x->search = turns_find_version(x->shared->turns, exch_account_name(x),
-				       x->call.program, x->call.resumes,
-				       on_version_found, x);
-	if (x->search == NULL)
-		on_version_found(x, TURNS_UNREADABLE, NULL);
-}
-
 /* Whether this is the first turn of a program, as far as this instance knows.
  */
 static bool begins_program(const struct exch *x)
@@ -553,7 +496,7 @@
 	if (!authorize(x) || !choose_service(x))
 		return;
 	exch_hold(x);
-	x->received_event_id = x->route->retain ? -1 : x->call.last_event_id;
+	x->received_event_id = x->call.last_event_id;
 	x->retry.attempts = x->route->attempts;
 	x->retry.idempotent =
 		x->route->kind == CAT_IDEMPOTENT ||
--- a/serve/exchange.h
+++ b/serve/exchange.h
@@ -9,6 +9,7 @@
 #include <urcu/list.h>
 
 #include "admission.h"
+#include "copies.h"
 #include "crashes.h"
 #include "decide/cost.h"
 #include "decide/fleet.h"
@@ -52,6 +53,7 @@
 	struct lview *load_view; /**< empty unless overload is managed */
 	struct turns *turns;
 	struct rollouts *rollouts; /**< NULL: no roll-outs */
+	struct copies *copies;	   /**< NULL: no copies of streams */
 	const char *zone;
 	struct contracts contracts;
 	double quota_slack; /**< see struct quota_limit */
--- a/serve/exchange_int.h
+++ b/serve/exchange_int.h
@@ -2,7 +2,8 @@
  * @file exchange_int.h
  * @brief Internal interface between the exchange*.c files.
  *
- * exchange.c authenticates and admits a request and ends it, exchange_admit.c
+ * exchange.c authenticates and admits a request and ends it, exchange_resume.c
+ * finds out what its caller has of a stream, exchange_admit.c
  * decides whether it starts while servers are overloaded, exchange_pick.c
  * selects a backend server for it, exchange_limit.c keeps to the rate limit of
  * that server, exchange_refusal.c records servers that refuse requests,
@@ -16,6 +17,7 @@
 #define APS_EXCHANGE_INT_H
 
 #include "call.h"
+#include "copies.h"
 #include "decide/retry.h"
 #include "exchange.h"
 #include "sse_splitter.h"
@@ -56,6 +58,11 @@
 	char *version;	      /* that began the stream; NULL: none yet */
 	bool storing_version; /* no output is passed to the caller until then */
 	struct turns_search *search; /* for the version of a resumed stream */
+	struct copies_search *copy_search; /* for what its caller has of it */
+	struct copies_stream *copy;	   /* of what is passed on, or NULL */
+	/* See struct scopy_name; of a stream that its caller takes up. */
+	struct scopy_id copy_first;
+	uint32_t copy_generation;
 
 	struct rollouts_attempt attempt; /* at @ref server */
 	struct retry_state retry;
@@ -85,9 +92,8 @@
 	struct splitter *splitter;
 	GString *turn_output; /* data of all events, for the history */
 	GBytes *turn_text;    /* input and output, once it is complete */
-	/* The last event of the stream, of all attempts; -1: none. It is behind
-	 * the caller's while a retained turn that its caller takes up is
-	 * received again: all of its output is stored. */
+	/* The last event of the stream, of all attempts, those of its caller
+	 * included; -1: none. */
 	int64_t received_event_id;
 	uint64_t tokens_used;
 	bool upstream_complete; /* the server's response is complete */
@@ -139,7 +145,8 @@
 /** Reports that a request may have run, or truncates a response that has begun;
  * frees @p x. */
 void exch_fail(struct exch *x, const char *cause, int status);
-/** For how long a stream may be taken up after versions have changed, in ms. */
+/** For how long a stream may be taken up, also after versions have changed, in
+ * ms. */
 int64_t exch_version_window_ms(const struct exch *x);
 /** Arms @p timer to fire in @p ms milliseconds. */
 void exch_set_timer(struct event *timer, int64_t ms);
@@ -175,8 +182,18 @@
 /** Starts the request, or refuses it or lets it wait while servers are
  * overloaded. */
 void exch_admit(struct exch *x);
-/** Starts a request that has been admitted. */
+/** Starts a request that has been admitted. A stream that its caller takes up
+ * goes on only at the version that began it, and on a route that retains turns
+ * only with the events that the caller has. */
 void exch_start_admitted(struct exch *x);
+/** Starts a request through its turn, or directly to a server. */
+void exch_start_turn(struct exch *x);
+/** Abandons the searches of exch_start_admitted(), and releases the copy of the
+ * stream. */
+void exch_cancel_resume(struct exch *x);
+/** Begins to copy a stream that its caller may take up; its version is known.
+ */
+void exch_begin_copy(struct exch *x);
 /** Whether the request is a further turn of a program. */
 bool exch_is_under_way(const struct exch *x);
 /** The priority of the request; 0 is the most urgent. */
--- a/serve/exchange_send.c
+++ b/serve/exchange_send.c
@@ -180,12 +180,16 @@
 						   now_ms));
 }
 
-/* Whether the caller has all events that have been received, by what it says.
- */
-static bool is_behind(const struct exch *x)
+static void copy_event(const struct exch *x, const struct splitter_event *event)
 {
-	return x->route->retain && x->call.last_event_id >= 0 &&
-	       x->received_event_id <= x->call.last_event_id;
+	struct scopy_event copied = {
+		.id = event->id,
+		.has_data = event->has_data,
+		.data = (const uint8_t *)event->data->str,
+		.len = event->has_data ? event->data->len : 0,
+	};
+
+	copies_add(x->copy, &copied);
 }
 
 /* Adds an event to the history and to the measurements. */
@@ -203,6 +207,8 @@
 				    (gssize)event->data->len);
 		g_string_append_c(x->turn_output, '\n');
 	}
+	if (x->copy != NULL)
+		copy_event(x, event);
 	x->events_received++;
 	if (x->first_event_ms == 0)
 		x->first_event_ms = clock_boot_ms();
@@ -218,9 +224,9 @@
 		return;
 	if (x->version == NULL)
 		bind_version(x);
+	if (!x->first_event_seen)
+		exch_begin_copy(x);
 	note_event(x, event);
-	if (is_behind(x))
-		return;
 	g_byte_array_append(x->buffered, (const guint8 *)event->raw,
 			    (guint)event->raw_len);
 	if (!x->first_event_seen)
@@ -366,6 +372,9 @@
 		exch_attempt_failed(x, RETRY_INTERRUPTED, "event too long");
 		return;
 	}
+	/* First, so that the copy is not behind the caller. */
+	if (x->copy != NULL)
+		copies_send(x->copy);
 	flush_output(x);
 	exch_note_memory(x);
 	/* A part of an event is no progress that the caller would see. */
@@ -416,6 +425,10 @@
 	remember_server(x);
 	exch_note_turn(x);
 	x->upstream_complete = true;
+	if (x->copy != NULL) {
+		copies_end(x->copy);
+		copies_send(x->copy);
+	}
 	event_del(x->timer);
 	if (!x->streaming) {
 		reply_buffered(x);
@@ -431,12 +444,6 @@
 	exch_attempt_failed(x, RETRY_INTERRUPTED, cause);
 }
 
-/* Whether a complete stream lacks events that the caller has. */
-static bool is_short(const struct exch *x)
-{
-	return x->route->retain && x->received_event_id < x->call.last_event_id;
-}
-
 static void on_end(void *arg, enum upstream_result result, const char *step)
 {
 	struct exch *x = arg;
@@ -447,10 +454,6 @@
 	if (result == UPSTREAM_COMPLETE && x->streaming &&
 	    splitter_pending(x->splitter) > 0)
 		on_broken(x, "event cut off");
-	else if (result == UPSTREAM_COMPLETE && x->streaming && x->usable &&
-		 is_short(x))
-		exch_attempt_failed(x, RETRY_INTERRUPTED,
-				    "ends before the caller's last event");
 	else if (result == UPSTREAM_COMPLETE)
 		on_complete_response(x);
 	else if (result == UPSTREAM_NO_TUNNEL)
--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -34,6 +34,7 @@
 	 * and sockets have buffers. */
 	MEMORY_FACTOR = 2,
 	MEMORY_MIN_KB = 4096,
+	COPIES_PART = 8, /* of what connections and requests may hold */
 };
 
 #define FIELD(name, type, required, preset, min, max)                          \
@@ -157,22 +158,28 @@
 	guint requests;
 	guint programs;
 	uint64_t bytes;
+	guint copies = 0;
+	uint64_t copy_bytes = 0;
 
 	stats_print(text);
 	inbound_count(gw->callers, &conns, &requests);
 	turns_cache_size(gw->shared.turns, &programs, &bytes);
+	if (gw->shared.copies != NULL)
+		copies_size(gw->shared.copies, &copies, &copy_bytes);
 	g_string_append_printf(
 		text,
 		"apricotshift_connections %u\napricotshift_requests %u\n"
 		"apricotshift_programs %u\n"
 		"apricotshift_history_bytes %" G_GUINT64_FORMAT "\n"
 		"apricotshift_memory_held_bytes %" G_GUINT64_FORMAT "\n"
+		"apricotshift_copies %u\n"
+		"apricotshift_copies_bytes %" G_GUINT64_FORMAT "\n"
 		"apricotshift_servers %u\napricotshift_instances %u\n"
 		"apricotshift_config_age_ms %" G_GINT64_FORMAT "\n"
 		"apricotshift_connections_opened_total %" G_GUINT64_FORMAT "\n"
 		"apricotshift_log_lines_left_out_total %" G_GUINT64_FORMAT "\n",
 		conns, requests, programs, bytes, gw->shared.memory->bytes,
-		fleet_count(gw->shared.fleet),
+		copies, copy_bytes, fleet_count(gw->shared.fleet),
 		members_count(gw->shared.members),
 		watcher_config_age_ms(gw->shared.watcher),
 		upstream_opened_total(gw->shared.upstream), slog_dropped());
@@ -514,6 +521,9 @@
 			gw->settings->tunnel, strerror(errno));
 	if (gw->tunnels != NULL)
 		tunnels_set_memory(gw->tunnels, gw->shared.memory);
+	if (gw->tunnels != NULL && gw->shared.copies != NULL)
+		tunnels_set_copies(gw->tunnels, copies_accept,
+				   gw->shared.copies);
 	return gw->callers != NULL && gw->ready != NULL;
 }
 
@@ -558,6 +568,20 @@
 	shared->rollouts = rollouts_create(&config, shared->watcher);
 }
 
+static void create_copies(struct gw *gw)
+{
+	struct exch_shared *shared = &gw->shared;
+	struct copies_config config = {
+		.base = gw->base,
+		.members = shared->members,
+		.memory = shared->memory,
+		.zone = gw->settings->zone,
+		.max_bytes = shared->memory->max_bytes / COPIES_PART,
+	};
+
+	shared->copies = copies_create(&config);
+}
+
 /* Creates the shared modules; returns false if an address can't be bound. */
 static bool create_modules(struct gw *gw)
 {
@@ -570,6 +594,7 @@
 		.address = settings->peers,
 		.relay = settings->relay,
 		.tunnel = settings->tunnel,
+		.copies = settings->tunnel,
 		.reaches_servers = reaches_servers,
 		.config_age_ms = config_age_ms,
 		.find_limit = find_limit,
@@ -632,6 +657,8 @@
 			settings->peers, strerror(errno));
 	if (shared->members != NULL && shared->contracts.rollouts)
 		create_rollouts(gw);
+	if (shared->members != NULL && settings->tunnel != NULL)
+		create_copies(gw);
 	if (shared->members != NULL)
 		gw->sweeper =
 			sweeper_create(gw->base, shared->store, shared->members,
@@ -676,6 +703,7 @@
 	inbound_destroy(gw->metrics);
 	relay_destroy(gw->relay);
 	tunnels_destroy(gw->tunnels);
+	copies_destroy(shared->copies);
 	sweeper_destroy(gw->sweeper);
 	rollouts_destroy(shared->rollouts);
 	members_destroy(shared->members);
--- a/serve/members.c
+++ b/serve/members.c
@@ -44,6 +44,8 @@
 
 	g_free(member->id);
 	g_free(member->relay);
+	g_free(member->zone);
+	g_free(member->copies);
 	g_free(member);
 }
 
@@ -277,6 +279,10 @@
 	(void)members_set_address(member, message->address);
 	g_free(member->relay);
 	member->relay = g_strdup(message->relay);
+	g_free(member->zone);
+	member->zone = g_strdup(message->zone);
+	g_free(member->copies);
+	member->copies = g_strdup(message->copies);
 	rows__member__free_unpacked(message, NULL);
 }
 
@@ -400,6 +406,7 @@
 	self.incarnation = live_epoch(members->live);
 	self.beat = ++members->heartbeat;
 	self.relay = (char *)members->config.relay;
+	self.copies = (char *)members->config.copies;
 	packed = msg_pack(&self.base, &len);
 	tx = store_tx_create(MEMBERS_PART);
 	store_tx_put(tx, MEMBERS_TABLE, members->config.id, packed, len);
@@ -612,6 +619,37 @@
 	live_doubt(members->live, instance, clock_boot_ms());
 }
 
+bool members_are_known(const struct members *members)
+{
+	return members->reads > 0;
+}
+
+void members_foreach_peer(const struct members *members,
+			  void (*fn)(void *arg,
+				     const struct members_peer *peer),
+			  void *arg)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, members->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct member *member = p;
+		struct members_peer peer = {
+			.id = member->id,
+			.zone = member->zone,
+			.copies = member->copies,
+			.hash = member->hash,
+			.responds =
+				!live_is_silent(members->live, member->id) &&
+				!live_is_leaving(members->live, member->id),
+		};
+
+		if (member->copies != NULL && !member->gone)
+			fn(arg, &peer);
+	}
+}
+
 void members_leave(struct members *members)
 {
 	members->leaving = true;
--- a/serve/members.h
+++ b/serve/members.h
@@ -38,6 +38,8 @@
 	const char *relay;   /**< HOST:PORT for calls to the store, or NULL */
 	/** HOST:PORT at which connections are carried for others, or NULL. */
 	const char *tunnel;
+	/** HOST:PORT at which copies of streams are taken, or NULL. */
+	const char *copies;
 	uint64_t epoch; /**< higher than that of its earlier starts */
 	/** Returns the age of the configuration. */
 	int64_t (*config_age_ms)(void *arg);
@@ -129,6 +131,23 @@
 void members_foreach(const struct members *members,
 		     void (*fn)(void *arg, const char *id, bool responds),
 		     void *arg);
+/** Another instance that takes copies of streams. */
+struct members_peer {
+	const char *id;
+	const char *zone;
+	const char *copies; /**< HOST:PORT */
+	uint64_t hash;	    /**< of its id */
+	bool responds;	    /**< and does not shut down */
+};
+
+/** Calls @p fn for each other instance that takes copies of streams and is not
+ * gone. */
+void members_foreach_peer(const struct members *members,
+			  void (*fn)(void *arg,
+				     const struct members_peer *peer),
+			  void *arg);
+/** Whether the other instances are known: their rows have been read. */
+bool members_are_known(const struct members *members);
 /** Announces that this instance shuts down. */
 void members_leave(struct members *members);
 
--- a/serve/members_int.h
+++ b/serve/members_int.h
@@ -19,7 +19,9 @@
 /** Another instance. */
 struct member {
 	char *id;
-	char *relay; /**< HOST:PORT for calls to the store, or NULL */
+	char *relay;  /**< HOST:PORT for calls to the store, or NULL */
+	char *zone;   /**< NULL until its row has been read */
+	char *copies; /**< HOST:PORT for copies of streams, or NULL */
 	struct sockaddr_in addr;
 	uint64_t hash; /**< of the id */
 	int64_t row_version;
--- a/serve/stats.c
+++ b/serve/stats.c
@@ -26,6 +26,7 @@
 	[STATS_REFUSED_VERSION] = "refused_total{cause=\"version unknown\"}",
 	[STATS_REFUSED_MARKED] = "refused_total{cause=\"marked\"}",
 	[STATS_REFUSED_MEMORY] = "refused_total{cause=\"memory\"}",
+	[STATS_REFUSED_STREAM] = "refused_total{cause=\"stream unknown\"}",
 	[STATS_REFUSED_STOPPING] = "refused_total{cause=\"stopping\"}",
 	[STATS_SENT] = "sent_total",
 	[STATS_SENT_AGAIN] = "sent_again_total",
@@ -52,6 +53,10 @@
 	[STATS_MEMORY_PAUSED] = "memory_paused_total",
 	[STATS_MEMORY_BROKEN_OFF] = "memory_broken_off_total",
 	[STATS_TURNS_KEPT] = "turns_kept_total",
+	[STATS_COPY_EVENTS] = "copies_events_total",
+	[STATS_COPY_BYTES] = "copies_sent_bytes_total",
+	[STATS_COPIES_FOUND] = "copies_found_total",
+	[STATS_COPIES_MISSED] = "copies_missed_total",
 	[STATS_TURNS_STALLED] = "turns_waited_for_store_total",
 	[STATS_CONFIG_AWAITED] = "configuration_waits_total",
 	[STATS_CONTACT_AWAITED] = "quota_contact_waits_total",
@@ -94,6 +99,11 @@
 	counters[counter]++;
 }
 
+void stats_add(enum stats_counter counter, uint64_t n)
+{
+	counters[counter] += n;
+}
+
 uint64_t stats_get(enum stats_counter counter)
 {
 	return counters[counter];
--- a/serve/stats.h
+++ b/serve/stats.h
@@ -27,6 +27,7 @@
 	STATS_REFUSED_MARKED,
 	STATS_REFUSED_MEMORY,
 	STATS_REFUSED_STOPPING,
+	STATS_REFUSED_STREAM,
 	STATS_SENT,
 	STATS_SENT_AGAIN,
 	STATS_RESUMED,
@@ -52,6 +53,10 @@
 	STATS_MEMORY_PAUSED,
 	STATS_MEMORY_BROKEN_OFF,
 	STATS_TURNS_KEPT,
+	STATS_COPY_EVENTS,
+	STATS_COPY_BYTES,
+	STATS_COPIES_FOUND,
+	STATS_COPIES_MISSED,
 	STATS_TURNS_STALLED,
 	STATS_CONFIG_AWAITED,
 	STATS_CONTACT_AWAITED,
@@ -88,8 +93,9 @@
 	STATS_LATENCIES,
 };
 
-/** Adds one to a counter. */
+/** Adds to a counter. */
 void stats_count(enum stats_counter counter);
+void stats_add(enum stats_counter counter, uint64_t n);
 /** Returns the value of a counter since the start. */
 uint64_t stats_get(enum stats_counter counter);
 /** Adds one time to a histogram. */
--- a/serve/tunnel.c
+++ b/serve/tunnel.c
@@ -31,6 +31,8 @@
 	struct mem_budget *memory; /* or NULL */
 	GHashTable *all;	   /* set of struct tunnel */
 	int64_t end_at_ms;	   /* of this instance; 0: not known */
+	void (*take_copies)(void *arg, struct bufferevent *bev); /* or NULL */
+	void *take_copies_arg;
 };
 
 struct tunnel {
@@ -89,6 +91,16 @@
 	write_message(out, &message.base);
 }
 
+void tunnel_write_open_copies(struct evbuffer *out)
+{
+	Rows__TunnelOpen message = ROWS__TUNNEL_OPEN__INIT;
+
+	message.server = (char *)"";
+	message.has_copies = true;
+	message.copies = true;
+	write_message(out, &message.base);
+}
+
 enum tunnel_reply tunnel_read_reply(struct evbuffer *in)
 {
 	enum tunnel_reply reply = TUNNEL_REPLY_INVALID;
@@ -141,7 +153,8 @@
 	g_hash_table_remove(tunnel->tunnels->all, tunnel);
 	mem_leave(&tunnel->held);
 	event_free(tunnel->timer);
-	bufferevent_free(tunnel->instance);
+	if (tunnel->instance != NULL)
+		bufferevent_free(tunnel->instance);
 	if (tunnel->server != NULL)
 		bufferevent_free(tunnel->server);
 	g_free(tunnel->server_id);
@@ -301,6 +314,19 @@
 		refuse(tunnel);
 }
 
+/* Hands the connection over to those who take copies of streams. */
+static void hand_over(struct tunnel *tunnel)
+{
+	struct tunnels *tunnels = tunnel->tunnels;
+	struct bufferevent *bev = g_steal_pointer(&tunnel->instance);
+	Rows__TunnelReply reply = ROWS__TUNNEL_REPLY__INIT;
+
+	reply.connected = true;
+	write_message(bufferevent_get_output(bev), &reply.base);
+	tunnel_free(tunnel);
+	tunnels->take_copies(tunnels->take_copies_arg, bev);
+}
+
 /* Whether what an instance asks for ends before this one does. Requests of an
  * earlier build may take any time. */
 static bool ends_in_time(const struct tunnels *tunnels,
@@ -318,6 +344,7 @@
 	struct tunnel *tunnel = arg;
 	const struct fleet_server *server;
 	Rows__TunnelOpen *message;
+	bool for_copies;
 	bool in_time;
 	bool invalid;
 	size_t len;
@@ -340,7 +367,12 @@
 	tunnel->server_id = g_strdup(message->server);
 	tunnel->frames = message->frames;
 	in_time = ends_in_time(tunnel->tunnels, message);
+	for_copies = message->copies && tunnel->tunnels->take_copies != NULL;
 	rows__tunnel_open__free_unpacked(message, NULL);
+	if (for_copies) {
+		hand_over(tunnel);
+		return;
+	}
 	server = fleet_find(tunnel->tunnels->fleet, tunnel->server_id);
 	if (server != NULL && !server->going_away && in_time)
 		connect_server(tunnel, server->address);
@@ -418,6 +450,14 @@
 	tunnels->memory = memory;
 }
 
+void tunnels_set_copies(struct tunnels *tunnels,
+			void (*take)(void *arg, struct bufferevent *bev),
+			void *arg)
+{
+	tunnels->take_copies = take;
+	tunnels->take_copies_arg = arg;
+}
+
 void tunnels_end_at(struct tunnels *tunnels, int64_t ms)
 {
 	tunnels->end_at_ms = ms;
--- a/serve/tunnel.h
+++ b/serve/tunnel.h
@@ -16,6 +16,7 @@
 #define APS_TUNNEL_H
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <glib.h>
 
@@ -34,6 +35,11 @@
 /** This instance ends at @p ms, of CLOCK_BOOTTIME: from now on it carries only
  * requests whose time limits end before that. */
 void tunnels_end_at(struct tunnels *tunnels, int64_t ms);
+/** Sets who gets connections for copies of streams: @p take, to which the
+ * connection belongs from then on. Until then none is taken. */
+void tunnels_set_copies(struct tunnels *tunnels,
+			void (*take)(void *arg, struct bufferevent *bev),
+			void *arg);
 /** Accepts no further connections. */
 void tunnels_stop_listening(struct tunnels *tunnels);
 /** Returns the number of connections that are carried. */
@@ -52,6 +58,8 @@
  * whose time limit is @p limit_ms. */
 void tunnel_write_open(struct evbuffer *out, const char *server,
 		       int64_t limit_ms);
+/** Writes the message that asks for a connection for copies of streams. */
+void tunnel_write_open_copies(struct evbuffer *out);
 /** Reads the response, and removes it from @p in. */
 enum tunnel_reply tunnel_read_reply(struct evbuffer *in);
 /** Reads the header of a frame, and removes it from @p in: returns its length,
--- a/test/soak/servers.c
+++ b/test/soak/servers.c
@@ -109,6 +109,7 @@
 					 SERVERS_TURN_EVENTS, TURN_GAP_MS);
 	if (server->backend == NULL)
 		return false;
+	backend_number_runs(server->backend);
 	backend_set_long_streams(server->backend, "/free/",
 				 SERVERS_STREAM_EVENTS, STREAM_GAP_MS);
 	server->proxy = proxy_create(servers->base, proxy_address, address);
@@ -403,6 +404,20 @@
 	return 0;
 }
 
+const struct backend_run *servers_find_run(const struct servers *servers,
+					   const char *id, guint run)
+{
+	for (guint i = 0; i < servers->count; i++) {
+		const GPtrArray *runs = backend_runs(servers->list[i].backend);
+
+		if (strcmp(servers->list[i].id, id) == 0)
+			return run >= 1 && run <= runs->len
+				       ? g_ptr_array_index(runs, run - 1)
+				       : NULL;
+	}
+	return NULL;
+}
+
 static void add_run(GHashTable *runs, struct backend_run *run)
 {
 	GPtrArray *request_runs = g_hash_table_lookup(runs, run->id);
--- a/test/soak/servers.h
+++ b/test/soak/servers.h
@@ -41,6 +41,9 @@
 /** Returns the software version of a server, or 0 if there was none of that
  * id. */
 guint servers_version(const struct servers *servers, const char *id);
+/** Returns the run of that number, from 1 on, of a server, or NULL. */
+const struct backend_run *servers_find_run(const struct servers *servers,
+					   const char *id, guint run);
 /** Adds all runs to @p runs: request IDs to GPtrArray of struct backend_run. */
 void servers_collect_runs(const struct servers *servers, GHashTable *runs);
 
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -71,8 +71,8 @@
 	EXIT_KNOWN = 3,	   /* nothing failed but what KNOWN-RED.txt may list */
 };
 
-/* The route kept streams turns that are retained, free streams that can resume;
- * order may run at most once. */
+/* The route kept streams turns that are retained, free streams that can resume,
+ * both those that are and can; order may run at most once. */
 static const char config_format[] =
 	"{\"version\":%d,\"routes\":["
 	"{\"name\":\"kept\",\"hostname\":\"h\",\"prefix\":\"/kept/\","
@@ -83,6 +83,10 @@
 	"\"route_type\":\"stream\",\"timeout_ms\":3000,\"slo_ms\":200,"
 	"\"service\":\"engines\",\"attempts\":2,\"retain\":false,"
 	"\"resumable\":true,\"gap_target_ms\":300},"
+	"{\"name\":\"both\",\"hostname\":\"h\",\"prefix\":\"/free/kept/\","
+	"\"route_type\":\"stream\",\"timeout_ms\":3000,\"slo_ms\":200,"
+	"\"service\":\"engines\",\"attempts\":2,\"retain\":true,"
+	"\"retention_s\":60,\"resumable\":true,\"gap_target_ms\":300},"
 	"{\"name\":\"order\",\"hostname\":\"h\",\"prefix\":\"/order/\","
 	"\"route_type\":\"unsafe\",\"timeout_ms\":1000,\"slo_ms\":100,"
 	"\"service\":\"shop\",\"attempts\":1}," CRASHES_ROUTE "],"
@@ -656,6 +660,8 @@
 		.requests = state.requests,
 		.port = state.port + GATEWAYS_PORT,
 		.seed = rng_mix(seed + 1),
+		/* The earlier build joins runs there. */
+		.keeps_turns = state.earlier == NULL,
 	});
 	run_for(READY_TIMEOUT_MS / 2);
 	start_callers();
--- a/test/soak/streams.c
+++ b/test/soak/streams.c
@@ -6,9 +6,11 @@
 #include "serve/clock.h"
 #include "soak.h"
 #include "streams.h"
+#include "test/standins/backend.h"
 
 enum {
-	CALLER_COUNT = 6,
+	CALLER_COUNT = 8,
+	TURNS_MAX = 3,		/* of a program */
 	ATTEMPTS_MAX = 6,	/* of one stream */
 	STREAM_LIMIT_MS = 3000, /* over all attempts, as the route's timeout */
 	MIN_LEFT_MS = 200,	/* less time is not worth an attempt */
@@ -17,6 +19,14 @@
 	LONG_SILENCE_MS = 1200, /* time for a gateway to change servers */
 };
 
+/* What callers have done on the routes that retain turns, or the others. */
+struct tally {
+	guint begun;
+	guint resumed; /* attempts that brought more of a begun stream */
+	guint refused; /* attempts to go on with a stream that got 503 */
+	guint completed;
+};
+
 /* One stream after another, each over several attempts. */
 struct stream_caller {
 	struct streams *streams;
@@ -27,8 +37,17 @@
 	int status;
 	GString *received; /* not yet a complete event */
 	bool brought_event;
+	bool keeps_turns; /* its streams are turns of a program */
+	GString *history; /* input and events of its complete turns */
+	char *previous;	  /* the last one, or NULL */
+	guint turns;
 	/* The stream. */
 	guint program;
+	guint number;
+	bool names_attempt; /* that it takes up */
+	GString *text;	    /* data of its events, a line feed after each */
+	const struct backend_run *run; /* that its last event is of */
+	bool is_begun;		       /* and not given up */
 	int64_t begun_ms;
 	int64_t silence_ms;
 	bool has_budget; /* without one it can begin while the store is away */
@@ -48,13 +67,11 @@
 	struct stream_caller callers[CALLER_COUNT];
 	int64_t until_ms;
 	guint next_id;
-	guint begun;
-	guint resumed; /* attempts that brought more of a begun stream */
-	guint refused; /* attempts to go on with a stream that got 503 */
-	guint completed_total;
+	struct tally tallies[2]; /* the second one: of turns that are kept */
 	guint completed;
 	guint two_versions;
 	guint wrong_order;
+	guint joined; /* streams with events of runs that don't fit */
 };
 
 static void set_timer(struct stream_caller *caller, int64_t ms)
@@ -64,11 +81,31 @@
 	event_add(caller->timer, &tv);
 }
 
+static struct tally *tally_of(const struct stream_caller *caller)
+{
+	return &caller->streams->tallies[caller->keeps_turns ? 1 : 0];
+}
+
+static void begin_program(struct stream_caller *caller)
+{
+	caller->program = caller->streams->next_id++;
+	caller->turns = 0;
+	g_string_truncate(caller->history, 0);
+	g_clear_pointer(&caller->previous, g_free);
+}
+
 static void begin_stream(struct stream_caller *caller)
 {
 	struct rng *rng = &caller->streams->rng;
 
-	caller->program = caller->streams->next_id++;
+	if (caller->previous == NULL || caller->turns >= TURNS_MAX)
+		begin_program(caller);
+	caller->number = caller->streams->next_id++;
+	caller->names_attempt = !caller->keeps_turns || rng_below(rng, 2) == 0;
+	g_string_truncate(caller->text, 0);
+	caller->run = NULL;
+	caller->is_begun = true;
+	tally_of(caller)->begun++;
 	caller->begun_ms = clock_boot_ms();
 	caller->silence_ms =
 		rng_below(rng, 2) == 0 ? SHORT_SILENCE_MS : LONG_SILENCE_MS;
@@ -90,8 +127,9 @@
 	struct soak_request *sent = g_new0(struct soak_request, 1);
 
 	sent->id = g_strdup_printf("f%u", caller->streams->next_id++);
-	sent->input = g_strdup_printf("in-f%u\n", caller->program);
-	sent->expected_body = g_strdup(sent->input);
+	sent->input = g_strdup_printf("in-f%u\n", caller->number);
+	sent->expected_body =
+		g_strconcat(caller->history->str, sent->input, NULL);
 	sent->resumable = true;
 	g_ptr_array_add(caller->streams->config.requests, sent);
 	return sent;
@@ -107,18 +145,24 @@
 	GString *head = g_string_new(NULL);
 
 	g_string_printf(head,
-			"POST /free/turn HTTP/1.1\r\nHost: h\r\n"
+			"POST /free/%sturn HTTP/1.1\r\nHost: h\r\n"
 			"Request-Id: %s\r\nAuthorization: Bearer secret-key\r\n"
 			"Deadline-Ms: %d\r\nContent-Length: %zu\r\n"
 			"Program-Id: f%u\r\nSession-Id: f%u\r\n"
 			"Token-Usage: 10,80\r\n",
-			caller->attempt->id, (int)time_left_ms(caller),
+			caller->keeps_turns ? "kept/" : "", caller->attempt->id,
+			(int)time_left_ms(caller),
 			strlen(caller->attempt->input), caller->program,
 			caller->program);
+	if (caller->previous != NULL)
+		g_string_append_printf(head, "Previous-Turn: %s\r\n",
+				       caller->previous);
 	if (caller->begun_as != NULL)
-		g_string_append_printf(
-			head, "Last-Event-Id: %d\r\nResumes: %s\r\n",
-			(int)caller->last_event_id, caller->begun_as);
+		g_string_append_printf(head, "Last-Event-Id: %d\r\n",
+				       (int)caller->last_event_id);
+	if (caller->begun_as != NULL && caller->names_attempt)
+		g_string_append_printf(head, "Resumes: %s\r\n",
+				       caller->begun_as);
 	g_string_append(head, "\r\n");
 	return head;
 }
@@ -127,7 +171,7 @@
 static void report(struct stream_caller *caller, const char *what)
 {
 	caller->wrong = true;
-	soak_fail("stream f%u: %s:%s", caller->program, what,
+	soak_fail("stream f%u: %s:%s", caller->number, what,
 		  caller->trace->str);
 }
 
@@ -146,30 +190,52 @@
 	}
 }
 
+/* An event is of the run of the one before, or of a run that was asked to go on
+ * after that. */
+static void check_run(struct stream_caller *caller, const char *engine,
+		      guint number)
+{
+	const struct backend_run *run = servers_find_run(
+		caller->streams->config.servers, engine, number);
+	int64_t after = caller->last_event_id > 0 ? caller->last_event_id : -1;
+
+	if (run == NULL ||
+	    (run != caller->run && run->last_event_id != after)) {
+		caller->streams->joined++;
+		report(caller, "pieces of two runs");
+	}
+	caller->run = run;
+}
+
 static void on_event(struct stream_caller *caller, const char *event)
 {
-	static const char format[] = "id: %d\ndata: %7[a-z0-9]-%d";
+	static const char format[] = "id: %d\ndata: %7[a-z0-9].%u-%d";
 	int id = 0;
 	int number = 0;
+	guint run = 0;
 	char engine[8] = "";
-	int fields = sscanf(event, format, &id, engine, &number);
+	int fields = sscanf(event, format, &id, engine, &run, &number);
 
 	g_string_append_printf(
-		caller->trace, " %d:%s(v%u)", id, engine,
+		caller->trace, " %d:%s.%u(v%u)", id, engine, run,
 		servers_version(caller->streams->config.servers, engine));
 	if (caller->wrong)
 		return;
-	if (fields != 3 || id != number || id != caller->last_event_id + 1) {
+	if (fields != 4 || id != number || id != caller->last_event_id + 1) {
 		caller->streams->wrong_order++;
 		report(caller, "wrong order");
 		return;
 	}
 	check_version(caller, engine);
+	if (!caller->wrong)
+		check_run(caller, engine, run);
 	if (caller->begun_as == NULL)
 		caller->begun_as = g_strdup(caller->attempt->id);
 	else if (strcmp(caller->begun_as, caller->attempt->id) != 0 &&
 		 !caller->brought_event)
-		caller->streams->resumed++;
+		tally_of(caller)->resumed++;
+	g_string_append_printf(caller->text, "%s\n",
+			       strstr(event, "data: ") + strlen("data: "));
 	caller->brought_event = true;
 	caller->last_event_id = id;
 }
@@ -181,7 +247,7 @@
 	bool refused = caller->attempt->status == 503;
 
 	g_string_append_printf(caller->trace, " %s", how);
-	streams->refused += refused && caller->begun_as != NULL;
+	tally_of(caller)->refused += refused && caller->begun_as != NULL;
 	caller->gateway =
 		(caller->gateway + 1 + (int)rng_below(&streams->rng, 2)) %
 		soak_gateway_count();
@@ -189,7 +255,7 @@
 	if (caller->begun_as == NULL || caller->attempts >= ATTEMPTS_MAX ||
 	    time_left_ms(caller) < MIN_LEFT_MS ||
 	    (refused && rng_below(&streams->rng, 2) == 0))
-		caller->program = 0;
+		caller->is_begun = false;
 	set_timer(caller, 5 + (int64_t)rng_below(&streams->rng, 60));
 }
 
@@ -200,8 +266,15 @@
 		report(caller, "complete without its last event");
 	}
 	caller->streams->completed++;
-	caller->streams->completed_total++;
-	caller->program = 0;
+	tally_of(caller)->completed++;
+	caller->is_begun = false;
+	if (caller->keeps_turns) {
+		g_string_append(caller->history, caller->attempt->input);
+		g_string_append(caller->history, caller->text->str);
+		g_free(caller->previous);
+		caller->previous = g_strdup(caller->attempt->id);
+		caller->turns++;
+	}
 	set_timer(caller, 5 + (int64_t)rng_below(&caller->streams->rng, 60));
 }
 
@@ -303,10 +376,8 @@
 	}
 	if (clock_boot_ms() >= caller->streams->until_ms)
 		return;
-	if (caller->program == 0) {
+	if (!caller->is_begun)
 		begin_stream(caller);
-		caller->streams->begun++;
-	}
 	send_attempt(caller);
 }
 
@@ -326,6 +397,9 @@
 		caller->gateway = i % soak_gateway_count();
 		caller->received = g_string_new(NULL);
 		caller->trace = g_string_new(NULL);
+		caller->history = g_string_new(NULL);
+		caller->text = g_string_new(NULL);
+		caller->keeps_turns = config->keeps_turns && i % 2 == 1;
 		caller->timer = evtimer_new(config->base, on_timer, caller);
 	}
 	return streams;
@@ -350,8 +424,15 @@
 
 void streams_print(const struct streams *streams)
 {
-	printf("streams: %u begun, %u complete, %u resumed, %u refused, "
-	       "%u of two versions, %u out of order\n",
-	       streams->begun, streams->completed_total, streams->resumed,
-	       streams->refused, streams->two_versions, streams->wrong_order);
+	for (int i = 0; i < 2; i++) {
+		const struct tally *tally = &streams->tallies[i];
+
+		printf("streams%s: %u begun, %u complete, %u resumed, "
+		       "%u refused\n",
+		       i == 1 ? " of kept turns" : "", tally->begun,
+		       tally->completed, tally->resumed, tally->refused);
+	}
+	printf("streams: %u of two versions, %u out of order, %u of runs that "
+	       "don't fit\n",
+	       streams->two_versions, streams->wrong_order, streams->joined);
 }
--- a/test/soak/streams.h
+++ b/test/soak/streams.h
@@ -24,6 +24,7 @@
 	int port;	     /**< of the first gateway; the next ones follow at
 			      * intervals of 10 */
 	uint64_t seed;
+	bool keeps_turns; /**< of half of the callers */
 };
 
 struct streams *streams_create(const struct streams_config *config);
--- a/test/standins/backend.c
+++ b/test/standins/backend.c
@@ -34,6 +34,7 @@
 	bool checks_target;
 	enum backend_crash crash;
 	bool has_crashed;
+	bool numbers_runs;	 /* in the data of events */
 	GHashTable *late_copies; /* of responses, by connection */
 	GPtrArray *runs;
 	guint cancelled;
@@ -48,6 +49,7 @@
 	guint n_events;
 	int event_gap_ms;
 	enum backend_mode mode; /* when it was begun */
+	guint run;
 	bool headers_sent;
 	bool stalled; /* a line has been begun */
 	bool crashes; /* the server, after the first event */
@@ -212,6 +214,20 @@
 	event_add(stream->timer, &tv);
 }
 
+/* Prints the next event of a stream; returns its length. */
+static int print_event(const struct stream *stream, char *out, size_t size,
+		       const char *end)
+{
+	const struct backend *backend = stream->backend;
+	char run[16] = "";
+
+	if (backend->numbers_runs)
+		g_snprintf(run, sizeof(run), ".%u", stream->run);
+	return g_snprintf(out, size, "id: %d\ndata: %s%s-%d%s",
+			  (int)stream->next_id, backend->id, run,
+			  (int)stream->next_id, end);
+}
+
 /* Sends the next part of a response without a length, or its end. */
 static void on_unframed_timer(evutil_socket_t fd, short what, void *arg)
 {
@@ -234,9 +250,7 @@
 		inbound_end_raw(request);
 		return;
 	}
-	g_snprintf(part, sizeof(part), "id: %d\ndata: %s-%d%s",
-		   (int)stream->next_id, stream->backend->id,
-		   (int)stream->next_id, breaks ? "" : "\n\n");
+	print_event(stream, part, sizeof(part), breaks ? "" : "\n\n");
 	inbound_write_raw(request, part);
 	stream->next_id = breaks ? stream->n_events + 1 : stream->next_id + 1;
 	event_add(stream->timer, &tv);
@@ -263,6 +277,7 @@
 	stream->backend = backend;
 	stream->request = request;
 	stream->mode = backend->mode;
+	stream->run = backend->runs->len;
 	stream->n_events = is_long     ? backend->n_long_events
 			   : is_stream ? backend->n_events
 				       : UNFRAMED_PARTS;
@@ -302,9 +317,7 @@
 		inbound_end_reply(request);
 		return;
 	}
-	len = g_snprintf(event, sizeof(event), "id: %d\ndata: %s-%d\n\n",
-			 (int)stream->next_id, backend->id,
-			 (int)stream->next_id);
+	len = print_event(stream, event, sizeof(event), "\n\n");
 	if (backend->mode == BACKEND_TRUNCATE && stream->next_id == 2) {
 		inbound_send_chunk(request, event, (size_t)len / 2);
 		free_stream(stream);
@@ -338,6 +351,7 @@
 	stream->backend = backend;
 	stream->request = request;
 	stream->crashes = crashes;
+	stream->run = backend->runs->len;
 	stream->n_events = is_long ? backend->n_long_events : backend->n_events;
 	stream->event_gap_ms =
 		is_long ? backend->long_gap_ms : backend->event_gap_ms;
@@ -576,6 +590,11 @@
 	g_free(backend);
 }
 
+void backend_number_runs(struct backend *backend)
+{
+	backend->numbers_runs = true;
+}
+
 void backend_set_mode(struct backend *backend, enum backend_mode mode)
 {
 	backend->mode = mode;
--- a/test/standins/backend.h
+++ b/test/standins/backend.h
@@ -85,6 +85,9 @@
 void backend_set_long_streams(struct backend *backend, const char *path,
 			      guint n_events, int event_gap_ms);
 void backend_destroy(struct backend *backend);
+/** From now on the data of events have the number of the run, from 1 on, behind
+ * the server's id: "e1.1-2" for the second event. */
+void backend_number_runs(struct backend *backend);
 void backend_set_mode(struct backend *backend, enum backend_mode mode);
 /** Adds @p fields, whole header lines which must outlive the server, to each
  * response from now on, or in mode BACKEND_WRONG_ID to those that belong to
--- a/test/unit/test_resumed_turn.c
+++ b/test/unit/test_resumed_turn.c
@@ -2,35 +2,63 @@
  * @file test_resumed_turn.c
  * @brief Turns that are kept and whose streams are resumed.
  *
- * The route of these tests retains turns and may be resumed. See fixture.h.
+ * The route of these tests retains turns and may be resumed, and the data of
+ * each event name its run. What a caller has is of one run, or of one that was
+ * asked to go on after the caller's last event; and the next turn's server gets
+ * just that. See fixture.h.
  */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <cmocka.h>
 #include <sodium.h>
 
+#include "serve/clock.h"
 #include "test/gateway/fixture.h"
 
 #define LOG_PATH "build/test_resumed_turn.log"
+#define PATH "/free/slow/turn"
 
 enum {
 	LISTED_MS = 100,
-	/* The timeout of the route and the skew between two lists, and more:
-	 * then the version of a stream without a record is known. */
-	WATCHED_MS = 5500,
+	KNOWN_MS = 600, /* until the instances know each other's addresses */
+	EVENTS = 8,
+	GAP_MS = 30,
+	SLOW_GAP_MS = 300,
+	STEP_MS = 2,
+	TEXT_MAX = 32,
+	ATTEMPTS_MAX = 4,
+	ENGINES = 2,
 };
 
-/* Makes the turns of the route /free/ kept. */
+/* A caller of one turn, and what it has. */
+struct caller {
+	char events[EVENTS + 1][TEXT_MAX]; /* data, by id */
+	int last;			   /* id of the last one; 0: none */
+	bool whole;
+	struct fixture_response response;
+	char id[16]; /* of the present attempt */
+	int after;   /* the last event before it */
+};
+
+/* Of all callers and tests. */
+static int attempts;
+
+/* Makes the turns of the route /free/ kept, and the second account unlimited.
+ */
 static int set_up(void **state)
 {
 	static const char from[] = "\"retain\":false,\"resumable\":true";
 	static const char to[] =
 		"\"retain\":true,\"retention_s\":60,\"resumable\":true";
+	static const char limited[] = "\"rate_per_s\":2,\"burst\":2}";
+	static const char unlimited[] = "\"rate_per_s\":0,\"burst\":0}";
 	int rc = fixture_set_up(state);
+	char *limit;
 	char *old = rowstore_get(fx.store, "op", "", "config");
 	const char *at = strstr(old, from);
 	const char *routes = strchr(old, ',');
@@ -38,182 +66,508 @@
 		g_strdup_printf("{\"version\":2%.*s%s%s", (int)(at - routes),
 				routes, to, at + strlen(from));
 
+	limit = strstr(text, limited);
+	assert_non_null(limit);
+	memcpy(limit, unlimited, strlen(unlimited));
 	rowstore_put(fx.store, "op", "", "config", text);
-	fixture_run_until(NULL, WATCHED_MS);
 	g_free(text);
 	g_free(old);
+	for (int i = 0; i < ENGINES; i++) {
+		backend_set_long_streams(fx.engines[i], "/free/slow", EVENTS,
+					 GAP_MS);
+		backend_number_runs(fx.engines[i]);
+	}
+	fixture_run_until(NULL, KNOWN_MS);
 	return rc;
 }
 
 #define RESUMED_TEST(test)                                                     \
 	cmocka_unit_test_setup_teardown(test, set_up, fixture_tear_down)
 
-/* Sends a turn that its caller takes up after event @p last; 0: a new one.
- * Returns the status, and checks the events that come if it is 200. */
-static int send_turn(int gateway, const char *id, int last, const char *budget)
+/* Takes the events of the present attempt, which follow the caller's without a
+ * gap. */
+static void take_events(struct caller *caller)
 {
-	struct fixture_response response;
-	char *resume = g_strdup_printf("Last-Event-Id: %d\r\n", last);
-	char *headers = g_strdup_printf(AUTH_HEADER TURN_HEADERS
-					"%sRequest-Id: %s\r\n%s",
-					budget, id, last > 0 ? resume : "");
-	int status;
-
-	fixture_request(&response, gateway, "/free/turn", headers, "one\n");
-	status = response.status;
-	for (int i = 1; status == 200 && i <= STREAM_EVENTS; i++) {
-		char *event = g_strdup_printf("id: %d\n", i);
-
-		if (i <= last)
-			assert_null(strstr(response.body->str, event));
-		else
-			assert_non_null(strstr(response.body->str, event));
-		g_free(event);
+	const char *at = caller->response.body->str;
+	int id;
+	char data[TEXT_MAX];
+	int taken = 0;
+
+	while (sscanf(at, "id: %d\ndata: %31[^\n]\n\n%n", &id, data, &taken) ==
+		       2 &&
+	       taken > 0) {
+		assert_int_equal(id, caller->last + 1);
+		assert_in_range(id, 1, EVENTS);
+		g_strlcpy(caller->events[id], data, TEXT_MAX);
+		caller->last = id;
+		at += taken;
+		taken = 0;
 	}
-	if (status == 200)
-		assert_int_equal(response.end, UPSTREAM_COMPLETE);
-	fixture_response_clear(&response);
+	caller->whole = caller->response.done &&
+			caller->response.status == 200 &&
+			caller->response.end == UPSTREAM_COMPLETE;
+	fixture_response_clear(&caller->response);
+}
+
+/* Sends the turn, or takes it up if the caller has events; @p fields are
+ * further lines of the header. */
+static void send_turn(struct caller *caller, int gateway, const char *fields)
+{
+	char *resume = g_strdup_printf("Last-Event-Id: %d\r\n", caller->last);
+	char *headers;
+
+	caller->after = caller->last;
+	g_snprintf(caller->id, sizeof(caller->id), "r%d", ++attempts);
+	headers = g_strdup_printf(
+		AUTH_HEADER TURN_HEADERS "%sRequest-Id: %s\r\n%s", fields,
+		caller->id, caller->last > 0 ? resume : "");
+	fixture_send(&caller->response, gateway, "POST", PATH, headers,
+		     "one\n");
 	g_free(headers);
 	g_free(resume);
-	return status;
 }
 
-/* Continues a turn, and checks that its server gets all of the chain, whichever
- * server each event came from. */
-static void check_next_turn(int gateway, const char *previous)
+/* Runs until the caller has got @p id in the present attempt. */
+static void run_until_event(struct caller *caller, int id)
+{
+	char *text = g_strdup_printf("id: %d\n", id);
+	int ms;
+
+	for (ms = 0; ms < RESPONSE_TIMEOUT_MS &&
+		     strstr(caller->response.body->str, text) == NULL;
+	     ms += STEP_MS)
+		fixture_run_until(NULL, STEP_MS);
+	assert_true(ms < RESPONSE_TIMEOUT_MS);
+	g_free(text);
+}
+
+/* The gateway is lost; the caller has what it got until then. */
+static void lose_gateway(struct caller *caller, int gateway)
+{
+	fixture_kill_gateway(gateway);
+	fixture_run_until(&caller->response.done, RESPONSE_TIMEOUT_MS);
+	take_events(caller);
+	assert_false(caller->whole);
+}
+
+static void restart_gateway(int gateway)
+{
+	fixture_start_gateway(gateway);
+	fixture_wait_until_ready();
+	fixture_run_until(NULL, KNOWN_MS);
+}
+
+/* Begins the turn at gateway 0 and loses that after an event. */
+static void begin_and_lose(struct caller *caller, int id)
+{
+	send_turn(caller, 0, "");
+	run_until_event(caller, id);
+	lose_gateway(caller, 0);
+	assert_int_equal(caller->last, id);
+}
+
+static void resume_whole(struct caller *caller, int gateway, const char *fields)
+{
+	send_turn(caller, gateway, fields);
+	fixture_run_until(&caller->response.done, RESPONSE_TIMEOUT_MS);
+	assert_int_equal(caller->response.status, 200);
+	take_events(caller);
+	assert_true(caller->whole);
+	assert_int_equal(caller->last, EVENTS);
+}
+
+static void assert_refused(struct caller *caller, int gateway,
+			   const char *fields)
+{
+	send_turn(caller, gateway, fields);
+	fixture_run_until(&caller->response.done, RESPONSE_TIMEOUT_MS);
+	assert_int_equal(caller->response.status, 503);
+	assert_non_null(caller->response.retry_after);
+	fixture_response_clear(&caller->response);
+}
+
+/* Returns the run that an event is of. */
+static const struct backend_run *run_of(const char *data)
+{
+	unsigned int engine;
+	unsigned int run;
+	int id;
+
+	assert_int_equal(sscanf(data, "e%u.%u-%d", &engine, &run, &id), 3);
+	assert_in_range(engine, 1, ENGINES);
+	assert_in_range(run, 1, backend_runs(fx.engines[engine - 1])->len);
+	return g_ptr_array_index(backend_runs(fx.engines[engine - 1]), run - 1);
+}
+
+/* Each event is of the run of the one before, or of a run that was asked to go
+ * on after that one. */
+static void check_runs(const struct caller *caller)
+{
+	for (int i = 1; i <= caller->last; i++) {
+		const struct backend_run *run = run_of(caller->events[i]);
+
+		if (i == 1)
+			assert_int_equal(run->last_event_id, -1);
+		else if (run != run_of(caller->events[i - 1]))
+			assert_int_equal(run->last_event_id, i - 1);
+	}
+}
+
+static const struct backend_run *find_run(const char *id)
+{
+	for (int i = 0; i < ENGINES; i++) {
+		const GPtrArray *runs = backend_runs(fx.engines[i]);
+
+		for (guint n = 0; n < runs->len; n++) {
+			const struct backend_run *run =
+				g_ptr_array_index(runs, n);
+
+			if (strcmp(run->id, id) == 0)
+				return run;
+		}
+	}
+	return NULL;
+}
+
+/* Continues the turn: its server gets what the caller has, and nothing else. */
+static void check_next_turn(const struct caller *caller, int gateway)
 {
 	struct fixture_response response;
-	const struct backend_run *run = NULL;
+	GString *expected = g_string_new("one\n");
+	char *id = g_strdup_printf("next-%s", caller->id);
 	char *headers =
 		g_strdup_printf(AUTH_HEADER TURN_HEADERS
-				"Request-Id: next\r\nPrevious-Turn: %s\r\n",
-				previous);
-	const char *at;
+				"Request-Id: %s\r\nPrevious-Turn: %s\r\n",
+				id, caller->id);
 
+	check_runs(caller);
+	for (int i = 1; i <= caller->last; i++)
+		g_string_append_printf(expected, "%s\n", caller->events[i]);
+	g_string_append(expected, "two\n");
 	fixture_request(&response, gateway, "/free/turn", headers, "two\n");
 	assert_int_equal(response.status, 200);
+	assert_non_null(find_run(id));
+	assert_string_equal(find_run(id)->body, expected->str);
 	fixture_response_clear(&response);
-	for (int i = 0; i < 2; i++) {
-		const GPtrArray *runs = backend_runs(fx.engines[i]);
+	g_string_free(expected, TRUE);
+	g_free(headers);
+	g_free(id);
+}
 
-		for (guint n = 0; n < runs->len; n++) {
-			struct backend_run *other = g_ptr_array_index(runs, n);
+/* Streams last long enough for an instance to be restarted. */
+static void slow_down(void)
+{
+	for (int i = 0; i < ENGINES; i++)
+		backend_set_long_streams(fx.engines[i], "/free/slow", EVENTS,
+					 SLOW_GAP_MS);
+}
 
-			if (strcmp(other->id, "next") == 0)
-				run = other;
-		}
-	}
-	assert_non_null(run);
-	assert_true(g_str_has_prefix(run->body, "one\n"));
-	at = run->body + strlen("one\n");
-	for (int i = 1; i <= STREAM_EVENTS; i++) {
-		char *data = g_strdup_printf("-%d\n", i);
-
-		assert_true(g_str_has_prefix(at, "e1") ||
-			    g_str_has_prefix(at, "e2"));
-		assert_true(g_str_has_prefix(at + 2, data));
-		at += 2 + strlen(data);
-		g_free(data);
-	}
-	assert_string_equal(at, "two\n");
-	g_free(headers);
+/* Guards against pieces of a run that was not asked to go on after the caller's
+ * last event, and against a history that its caller does not have. */
+static void test_resumed_after_a_kill(void **state)
+{
+	struct caller caller = {0};
+
+	(void)state;
+	begin_and_lose(&caller, 3);
+	resume_whole(&caller, 1, "");
+	check_next_turn(&caller, 1);
 }
 
-/* Guards against a turn that is kept without the events before Last-Event-Id:
- * the next one runs with a history that lacks them. */
-static void test_resumed_turn_is_kept_whole(void **state)
+/* The same if the caller names the attempt that it takes up. */
+static void test_resumed_by_name(void **state)
 {
+	struct caller caller = {0};
+	char *resumes;
+
 	(void)state;
-	assert_int_equal(send_turn(1, "r1", 2, ""), 200);
-	check_next_turn(0, "r1");
+	begin_and_lose(&caller, 3);
+	resumes = g_strdup_printf("Resumes: %s\r\n", caller.id);
+	resume_whole(&caller, 1, resumes);
+	check_next_turn(&caller, 1);
+	g_free(resumes);
 }
 
-/* The same if the caller has all events but not the end. */
+/* The same if the caller has all events but not the end: the turn waits for the
+ * store when its gateway is lost. */
 static void test_all_events_but_the_end(void **state)
+{
+	struct caller caller = {0};
+
+	(void)state;
+	send_turn(&caller, 0, "");
+	run_until_event(&caller, EVENTS - 1);
+	rowstore_set_delay(fx.store, 300);
+	run_until_event(&caller, EVENTS);
+	fixture_run_until(NULL, 2 * GAP_MS);
+	lose_gateway(&caller, 0);
+	rowstore_set_delay(fx.store, 0);
+	assert_int_equal(caller.last, EVENTS);
+	resume_whole(&caller, 1, "");
+	check_next_turn(&caller, 1);
+}
+
+/* The same twice in a row: the gateway that goes on is lost too. */
+static void test_resumed_twice(void **state)
+{
+	struct caller caller = {0};
+
+	(void)state;
+	slow_down();
+	begin_and_lose(&caller, 2);
+	send_turn(&caller, 1, "");
+	run_until_event(&caller, 4);
+	restart_gateway(0);
+	/* The copy goes to the new instance from its beginning. */
+	lose_gateway(&caller, 1);
+	assert_in_range(caller.last, 4, EVENTS - 1);
+	restart_gateway(1);
+	resume_whole(&caller, 0, "");
+	check_next_turn(&caller, 1);
+}
+
+/* Guards against a copy that is lost with the instance that keeps it, while the
+ * stream goes on. */
+static void test_holder_is_replaced(void **state)
+{
+	struct caller caller = {0};
+
+	(void)state;
+	slow_down();
+	send_turn(&caller, 0, "");
+	run_until_event(&caller, 2);
+	fixture_kill_gateway(1);
+	restart_gateway(1);
+	run_until_event(&caller, 6);
+	lose_gateway(&caller, 0);
+	resume_whole(&caller, 1, "");
+	check_next_turn(&caller, 1);
+}
+
+/* The connection broke, and the gateway lives: it is taken up there, or at the
+ * other one. */
+static void test_broken_connection(void **state)
 {
 	(void)state;
-	assert_int_equal(send_turn(1, "r1", STREAM_EVENTS, ""), 200);
-	check_next_turn(0, "r1");
+	for (int gateway = 0; gateway < GATEWAY_COUNT; gateway++) {
+		struct caller caller = {0};
+
+		send_turn(&caller, 0, "");
+		run_until_event(&caller, 3);
+		take_events(&caller);
+		fixture_run_until(NULL, GAP_MS);
+		resume_whole(&caller, gateway, "");
+		check_next_turn(&caller, 1 - gateway);
+		/* The same turn again, by another caller. */
+		fixture_run_until(NULL, LISTED_MS);
+		fixture_kill_all();
+		fixture_run_until(NULL, KNOWN_MS);
+	}
 }
 
-/* The same where servers break off too: before the caller's last event, and
- * after it. */
+/* Servers break off too: a gateway goes on within a response, before and after
+ * its caller takes the stream up. */
 static void test_resumed_here_and_by_the_caller(void **state)
 {
+	struct caller caller = {0};
+
 	(void)state;
 	fixture_put_engine("e2", ENGINE_2_ADDRESS, FIXTURE_VERSION);
 	fixture_run_until(NULL, LISTED_MS);
-	for (int last = 1; last <= 3; last++) {
-		char *id = g_strdup_printf("r%d", last);
-
-		backend_set_mode(fx.engines[0], BACKEND_TRUNCATE);
-		assert_int_equal(send_turn(1, id, last, ""), 200);
-		backend_set_mode(fx.engines[0], BACKEND_OK);
-		check_next_turn(0, id);
-		g_free(id);
-	}
+	backend_set_mode(fx.engines[0], BACKEND_TRUNCATE);
+	backend_set_mode(fx.engines[1], BACKEND_TRUNCATE);
+	send_turn(&caller, 0, "");
+	run_until_event(&caller, 1);
+	backend_set_mode(fx.engines[0], BACKEND_OK);
+	backend_set_mode(fx.engines[1], BACKEND_OK);
+	run_until_event(&caller, 4);
+	lose_gateway(&caller, 0);
+	resume_whole(&caller, 1, "");
+	check_next_turn(&caller, 1);
 }
 
-/* The same twice in a row: the gateway that goes on is lost too. */
-static void test_resumed_twice(void **state)
+/* Guards against a run that is made up for a stream which nobody knows. */
+static void test_unknown_stream(void **state)
 {
-	struct fixture_response response;
+	struct caller caller = {.last = 2};
+	guint runs = backend_runs(fx.engines[0])->len;
 
 	(void)state;
-	backend_set_long_streams(fx.engines[0], "/free/slow", 1000, 50);
-	fixture_send(&response, 1, "POST", "/free/slow/turn",
-		     AUTH_HEADER TURN_HEADERS
-		     "Request-Id: r1\r\nLast-Event-Id: 1\r\n",
-		     "one\n");
-	for (int ms = 0; ms < RESPONSE_TIMEOUT_MS &&
-			 strstr(response.body->str, "id: 3\n") == NULL;
-	     ms++)
-		fixture_run_until(&response.done, 1);
-	assert_null(strstr(response.body->str, "id: 1\n"));
+	assert_refused(&caller, 1, "");
+	assert_refused(&caller, 1, "Resumes: nobody\r\n");
+	assert_int_equal(backend_runs(fx.engines[0])->len, runs);
+}
+
+/* The same once all that knew it are lost, and for events that they have not
+ * passed on; the caller begins the turn anew. */
+static void test_all_are_lost(void **state)
+{
+	struct caller caller = {0};
+	struct caller anew = {0};
+
+	(void)state;
+	begin_and_lose(&caller, 3);
+	caller.last = EVENTS - 1;
+	assert_refused(&caller, 1, "");
+	caller.last = 3;
 	fixture_kill_gateway(1);
-	fixture_run_until(&response.done, RESPONSE_TIMEOUT_MS);
+	restart_gateway(0);
+	restart_gateway(1);
+	assert_refused(&caller, 1, "");
+	resume_whole(&anew, 1, "");
+	check_next_turn(&anew, 0);
+}
+
+/* Guards against the text of one attempt in the history of another one: callers
+ * that say which one they mean are served, others refused. */
+static void test_two_attempts(void **state)
+{
+	struct caller first = {0};
+	struct caller second = {0};
+	char *resumes;
+
+	(void)state;
+	send_turn(&first, 0, "");
+	run_until_event(&first, 3);
+	take_events(&first);
+	send_turn(&second, 1, "");
+	run_until_event(&second, 3);
+	take_events(&second);
+	fixture_run_until(NULL, GAP_MS);
+	resumes = g_strdup_printf("Resumes: %s\r\n", second.id);
+	assert_refused(&second, 0, "");
+	resume_whole(&second, 0, resumes);
+	check_next_turn(&second, 1);
+	g_free(resumes);
+	resumes = g_strdup_printf("Resumes: %s\r\n", first.id);
+	/* The present id of the first caller is that of its first attempt. */
+	resume_whole(&first, 1, resumes);
+	check_next_turn(&first, 0);
+	g_free(resumes);
+}
+
+/* Guards against another account, program or input that gets the copy. */
+static void test_other_turns_do_not_match(void **state)
+{
+	struct caller caller = {0};
+	struct fixture_response response;
+
+	(void)state;
+	begin_and_lose(&caller, 3);
+	fixture_request(&response, 1, PATH,
+			AUTH_HEADER "Program-Id: q\r\nSession-Id: s\r\n"
+				    "Token-Usage: 10,60\r\nRequest-Id: o1\r\n"
+				    "Last-Event-Id: 3\r\n",
+			"one\n");
+	assert_int_equal(response.status, 503);
 	fixture_response_clear(&response);
-	fixture_start_gateway(1);
-	assert_int_equal(send_turn(0, "r2", 3, ""), 200);
-	fixture_wait_until_ready();
-	check_next_turn(1, "r2");
+	fixture_request(&response, 1, PATH,
+			AUTH_HEADER TURN_HEADERS "Request-Id: o2\r\n"
+						 "Last-Event-Id: 3\r\n",
+			"other\n");
+	assert_int_equal(response.status, 503);
+	fixture_response_clear(&response);
+	fixture_request(&response, 1, PATH,
+			"Authorization: Bearer key-2\r\n" TURN_HEADERS
+			"Request-Id: o3\r\nLast-Event-Id: 3\r\n",
+			"one\n");
+	assert_int_equal(response.status, 503);
+	fixture_response_clear(&response);
+	/* It is still there. */
+	resume_whole(&caller, 1, "");
+	assert_null(find_run("o3"));
 }
 
-/* A stream that ends before the event which its caller has is not its stream:
- * nothing is kept. */
-static void test_stream_that_lacks_the_callers_event(void **state)
+/* The tokens of each event count once: 80 for the turn and its resumption, and
+ * 60 for the most of another turn. */
+static void test_budget_of_a_resumed_turn(void **state)
+{
+	static const char budget[] = "Token-Budget: 140\r\n";
+	struct caller caller = {0};
+	struct caller next = {0};
+
+	(void)state;
+	send_turn(&caller, 0, budget);
+	run_until_event(&caller, 4);
+	take_events(&caller);
+	fixture_run_until(NULL, GAP_MS);
+	resume_whole(&caller, 0, budget);
+	fixture_run_until(NULL, LISTED_MS);
+	send_turn(&next, 0, budget);
+	run_until_event(&next, 1);
+	take_events(&next);
+}
+
+/* A route that retains turns and may not be resumed. */
+static void test_route_that_may_not_be_resumed(void **state)
 {
 	struct fixture_response response;
 
 	(void)state;
-	assert_int_equal(send_turn(1, "r1", STREAM_EVENTS + 1, ""), 502);
-	fixture_request(&response, 0, "/free/turn",
+	fixture_request(&response, 0, "/kept/turn",
+			AUTH_HEADER TURN_HEADERS "Request-Id: k1\r\n", "one\n");
+	assert_int_equal(response.status, 200);
+	fixture_response_clear(&response);
+	fixture_request(&response, 0, "/kept/turn",
 			AUTH_HEADER TURN_HEADERS
-			"Request-Id: r2\r\nPrevious-Turn: r1\r\n",
-			"two\n");
-	assert_int_equal(response.status, 404);
+			"Request-Id: k2\r\nLast-Event-Id: 2\r\n",
+			"one\n");
+	assert_int_equal(response.status, 503);
 	fixture_response_clear(&response);
+	assert_null(find_run("k2"));
 }
 
-/* The tokens of all events count, also of those that were received again. */
-static void test_budget_of_a_resumed_turn(void **state)
+/* Returns a counter of the process. */
+static long read_metric(const char *name)
+{
+	struct fixture_response response;
+	const char *at;
+	long value = -1;
+
+	fixture_get(&response, 0, 4, "/metrics");
+	at = strstr(response.body->str, name);
+	if (at != NULL)
+		value = strtol(at + strlen(name), NULL, 10);
+	fixture_response_clear(&response);
+	return value;
+}
+
+/* Guards against copies of what needs none. */
+static void test_other_routes_are_not_copied(void **state)
 {
-	static const char budget[] = "Token-Budget: 80\r\n";
+	static const char name[] = "apricotshift_copies_events_total ";
+	struct fixture_response response;
+	struct caller caller = {0};
+	long before = read_metric(name);
 
 	(void)state;
-	assert_int_equal(send_turn(1, "r1", 2, budget), 200);
-	assert_int_equal(send_turn(1, "r2", 0, budget), 402);
+	assert_true(before >= 0);
+	fixture_request(&response, 0, "/kept/turn",
+			AUTH_HEADER TURN_HEADERS "Request-Id: c1\r\n", "one\n");
+	assert_int_equal(response.status, 200);
+	fixture_response_clear(&response);
+	assert_int_equal(read_metric(name), before);
+	resume_whole(&caller, 0, "");
+	assert_int_equal(read_metric(name), before + EVENTS);
 }
 
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		RESUMED_TEST(test_resumed_turn_is_kept_whole),
+		RESUMED_TEST(test_resumed_after_a_kill),
+		RESUMED_TEST(test_resumed_by_name),
 		RESUMED_TEST(test_all_events_but_the_end),
-		RESUMED_TEST(test_resumed_here_and_by_the_caller),
 		RESUMED_TEST(test_resumed_twice),
-		RESUMED_TEST(test_stream_that_lacks_the_callers_event),
+		RESUMED_TEST(test_holder_is_replaced),
+		RESUMED_TEST(test_broken_connection),
+		RESUMED_TEST(test_resumed_here_and_by_the_caller),
+		RESUMED_TEST(test_unknown_stream),
+		RESUMED_TEST(test_all_are_lost),
+		RESUMED_TEST(test_two_attempts),
+		RESUMED_TEST(test_other_turns_do_not_match),
 		RESUMED_TEST(test_budget_of_a_resumed_turn),
+		RESUMED_TEST(test_route_that_may_not_be_resumed),
+		RESUMED_TEST(test_other_routes_are_not_copied),
 	};
 
 	if (sodium_init() < 0 || freopen(LOG_PATH, "w", stdout) == NULL)
