--- a/serve/gateway.c
+++ b/serve/gateway.c
@@ -12,7 +12,6 @@
 #include "platform/contracts.h"
 #include "platform/relay.h"
 #include "platform/wire.h"
-#include "settings.h"
 #include "slog.h"
 #include "stats.h"
 #include "sweeper.h"
@@ -37,40 +36,6 @@
 	COPIES_PART = 8, /* of what connections and requests may hold */
 };
 
-#define FIELD(name, type, required, preset, min, max)                          \
-	{                                                                      \
-#name, offsetof(struct gw_settings, name), type, required,     \
-			preset, min, max                                       \
-	}
-
-static const struct settings_field fields[] = {
-	FIELD(id, SETTINGS_STRING, true, 0, 0, 0),
-	FIELD(zone, SETTINGS_STRING, true, 0, 0, 0),
-	FIELD(callers, SETTINGS_ADDRESS, true, 0, 0, 0),
-	FIELD(ready, SETTINGS_ADDRESS, true, 0, 0, 0),
-	FIELD(peers, SETTINGS_ADDRESS, true, 0, 0, 0),
-	FIELD(relay, SETTINGS_ADDRESS, false, 0, 0, 0),
-	FIELD(tunnel, SETTINGS_ADDRESS, false, 0, 0, 0),
-	FIELD(metrics, SETTINGS_ADDRESS, false, 0, 0, 0),
-	FIELD(store, SETTINGS_ADDRESS, true, 0, 0, 0),
-	FIELD(contracts, SETTINGS_STRING, false, 0, 0, 0),
-	FIELD(grace_s, SETTINGS_TRUNCATED, false, 8, 1, 3600),
-	FIELD(revoke_ms, SETTINGS_TRUNCATED, false, 5000, 2000, 600000),
-	FIELD(quota_slack, SETTINGS_TRUNCATED, false, 0, 0, 1000000),
-	FIELD(exposure_share, SETTINGS_FRACTION, false, 100, 1, 1000),
-	FIELD(exposure_slack, SETTINGS_TRUNCATED, false, 50, 0, 1000000),
-	FIELD(rollback_ms, SETTINGS_TRUNCATED, false, 5000, 2500, 600000),
-	FIELD(contact_ms, SETTINGS_TRUNCATED, false, 4000, 100, 600000),
-	FIELD(cache_kb, SETTINGS_INTEGER, false, 3072, 64, 1048576),
-	FIELD(memory_mb, SETTINGS_TRUNCATED, false, 128, 1, 1048576),
-	FIELD(load_kb, SETTINGS_INTEGER, false, 16384, 64, 1048576),
-	/* The minimum lifetime of rows, so they stay at most twice as long. */
-	FIELD(sweep_ms, SETTINGS_INTEGER, false, 600000, 1, 86400000),
-	/* By default more than a header of 4 MB has: the byte limit of the
-	 * configuration is reached first. Clients send some tens of lines. */
-	FIELD(max_header_lines, SETTINGS_INTEGER, false, 1048576, 64, 16777216),
-};
-
 struct gw {
 	const struct gw_settings *settings;
 	const char *path;
@@ -91,24 +56,6 @@
 	bool stopped;
 };
 
-struct gw_settings *gw_read_settings(const char *path, GString *errors)
-{
-	struct gw_settings *settings = g_new0(struct gw_settings, 1);
-
-	if (settings_load(path, fields, G_N_ELEMENTS(fields), settings, errors))
-		return settings;
-	gw_free_settings(settings);
-	return NULL;
-}
-
-void gw_free_settings(struct gw_settings *settings)
-{
-	if (settings == NULL)
-		return;
-	settings_clear(fields, G_N_ELEMENTS(fields), settings);
-	g_free(settings);
-}
-
 static void on_request(void *arg, struct inbound_request *request)
 {
 	struct gw *gw = arg;
--- a/serve/turns_int.h
+++ b/serve/turns_int.h
@@ -231,6 +231,9 @@
  * fields of a later build stay. g_free() the result. */
 uint8_t *turns_pack_budget(const struct program *program, uint64_t cap,
 			   size_t *len);
+/** Adds the row with the expiry of a program's rows, by the store's clock. */
+void turns_put_expiry(struct store_tx *tx, const char *program_key,
+		      int64_t expires_ms);
 /** Sends a transaction with all pending rows of a program and its cap; its
  * result goes to @p done. */
 struct turns_tx *turns_tx_send(struct program *program, uint64_t cap,
--- a/serve/turns_keep.c
+++ b/serve/turns_keep.c
@@ -9,7 +9,6 @@
 #include <string.h>
 
 #include "decide/retention.h"
-#include "proto/message.h"
 #include "slog.h"
 #include "turns_int.h"
 
@@ -33,19 +32,13 @@
 
 static void write_expiry(struct load *load, int64_t expires_ms, int64_t version)
 {
-	Rows__Expiry row = ROWS__EXPIRY__INIT;
 	char part[PART_LEN];
 	struct store_tx *tx;
-	uint8_t *packed;
-	size_t len;
 
 	turns_program_part(load->owner, part);
 	tx = store_tx_create(part);
-	row.at_ms = (uint64_t)expires_ms;
-	packed = msg_pack(&row.base, &len);
 	store_tx_expect(tx, EXPIRY_TABLE, load->owner, version);
-	store_tx_put(tx, EXPIRY_TABLE, load->owner, packed, len);
-	g_free(packed);
+	turns_put_expiry(tx, load->owner, expires_ms);
 	load->call = store_tx_send(load->turn->program->turns->store, tx,
 				   on_extended, load);
 }
--- a/serve/turns_write.c
+++ b/serve/turns_write.c
@@ -133,27 +133,33 @@
 	g_free(packed);
 }
 
+void turns_put_expiry(struct store_tx *tx, const char *program_key,
+		      int64_t expires_ms)
+{
+	Rows__Expiry row = ROWS__EXPIRY__INIT;
+	uint8_t *packed;
+	size_t len;
+
+	row.at_ms = (uint64_t)expires_ms;
+	packed = msg_pack(&row.base, &len);
+	store_tx_put(tx, EXPIRY_TABLE, program_key, packed, len);
+	g_free(packed);
+}
+
 /* Extends the expiry of the program's rows where it is too near; returns the
  * new one, or 0. */
 static int64_t put_expiry(struct store_tx *tx, struct program *program)
 {
-	Rows__Expiry row = ROWS__EXPIRY__INIT;
 	struct turns_turn *turn;
 	int64_t keep_ms = RETENTION_MIN_MS;
 	int64_t now_ms = store_clock_ms(program->turns->store);
 	int64_t expires_ms;
-	uint8_t *packed;
-	size_t len;
 
 	cds_list_for_each_entry(turn, &program->active_turns, node)
 		keep_ms = MAX(keep_ms, turn->retention_ms);
 	expires_ms = retention_extend(program->expires_ms, now_ms, keep_ms);
-	if (expires_ms == 0)
-		return 0;
-	row.at_ms = (uint64_t)expires_ms;
-	packed = msg_pack(&row.base, &len);
-	store_tx_put(tx, EXPIRY_TABLE, program->key, packed, len);
-	g_free(packed);
+	if (expires_ms > 0)
+		turns_put_expiry(tx, program->key, expires_ms);
 	return expires_ms;
 }
 
--- a/test/unit/test_inbound.c
+++ b/test/unit/test_inbound.c
@@ -14,9 +14,9 @@
 #include "serve/clock.h"
 #include "serve/inbound.h"
 #include "serve/memory.h"
+#include "test/gateway/conn.h"
 
 enum {
-	PORT = 18490,
 	STALLED_COUNT = 2000,
 	HEADER_TIMEOUT_MS = 400,
 	IDLE_TIMEOUT_MS = 300,
@@ -80,7 +80,7 @@
 	(void)state;
 	memset(&fx, 0, sizeof(fx));
 	fx.base = event_base_new();
-	fx.inbound = inbound_create(fx.base, "127.0.0.1:18490", &handler, NULL);
+	fx.inbound = inbound_create(fx.base, CONN_ADDRESS, &handler, NULL);
 	if (fx.inbound == NULL)
 		return 1;
 	inbound_set_limits(fx.inbound, &limits);
@@ -95,73 +95,6 @@
 	return 0;
 }
 
-static void run_loop(int ms)
-{
-	struct timeval tv = {.tv_sec = ms / 1000,
-			     .tv_usec = (ms % 1000) * 1000};
-
-	event_base_loopexit(fx.base, &tv);
-	event_base_dispatch(fx.base);
-}
-
-static int open_connection(void)
-{
-	struct sockaddr_in addr = {.sin_family = AF_INET,
-				   .sin_port = htons(PORT),
-				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	assert_true(fd >= 0);
-	assert_int_equal(connect(fd, (struct sockaddr *)&addr, sizeof(addr)),
-			 0);
-	return fd;
-}
-
-/* Sends bytes on a new connection and returns what it received; sets @p closed
- * if the connection was closed. */
-static char *exchange(const char *bytes, bool *closed)
-{
-	static char response[8192];
-	int fd = open_connection();
-	size_t n = 0;
-	ssize_t received = -1;
-
-	assert_int_equal(send(fd, bytes, strlen(bytes), MSG_NOSIGNAL),
-			 strlen(bytes));
-	*closed = false;
-	for (int i = 0; i < 20 && !*closed; i++) {
-		run_loop(3);
-		while (n < sizeof(response) - 1 &&
-		       (received =
-				recv(fd, response + n, sizeof(response) - 1 - n,
-				     MSG_DONTWAIT)) > 0)
-			n += (size_t)received;
-		*closed = received == 0;
-	}
-	response[n] = '\0';
-	close(fd);
-	run_loop(3);
-	return response;
-}
-
-static void send_text(int fd, const char *text)
-{
-	assert_int_equal(send(fd, text, strlen(text), MSG_NOSIGNAL),
-			 strlen(text));
-}
-
-/* Runs the loop, and checks that the connection gets a 200 response. */
-static void assert_served(int fd)
-{
-	char response[256];
-	ssize_t n;
-
-	run_loop(50);
-	n = recv(fd, response, sizeof(response) - 1, MSG_DONTWAIT);
-	response[MAX(n, 0)] = '\0';
-	assert_true(g_str_has_prefix(response, "HTTP/1.1 200 "));
-}
-
 #define REQUEST "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
 #define SMUGGLED "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -196,7 +129,8 @@
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(requests); i++) {
 		bool closed;
-		char *response = exchange(requests[i], &closed);
+		char *response =
+			conn_exchange(fx.base, CONN_PORT, requests[i], &closed);
 
 		if (!closed || fx.requests != 0 ||
 		    !g_str_has_prefix(response, "HTTP/1.1 400 "))
@@ -216,20 +150,23 @@
 	(void)state;
 	for (int i = 0; i < HEADER_BYTES_MAX; i++)
 		g_string_append_c(text, 'x');
-	assert_true(g_str_has_prefix(exchange(text->str, &closed),
-				     "HTTP/1.1 431 "));
+	assert_true(g_str_has_prefix(
+		conn_exchange(fx.base, CONN_PORT, text->str, &closed),
+		"HTTP/1.1 431 "));
 	g_string_printf(text,
 			"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n"
 			"\r\n",
 			BODY_BYTES_MAX + 1);
-	assert_true(g_str_has_prefix(exchange(text->str, &closed),
-				     "HTTP/1.1 413 "));
+	assert_true(g_str_has_prefix(
+		conn_exchange(fx.base, CONN_PORT, text->str, &closed),
+		"HTTP/1.1 413 "));
 	g_string_assign(text, "POST / HTTP/1.1\r\nHost: h\r\n"
 			      "Transfer-Encoding: chunked\r\n\r\n");
 	for (int i = 0; i < BODY_BYTES_MAX; i++)
 		g_string_append(text, "2\r\nab\r\n");
-	assert_true(g_str_has_prefix(exchange(text->str, &closed),
-				     "HTTP/1.1 413 "));
+	assert_true(g_str_has_prefix(
+		conn_exchange(fx.base, CONN_PORT, text->str, &closed),
+		"HTTP/1.1 413 "));
 	assert_int_equal(fx.requests, 0);
 	g_string_free(text, TRUE);
 }
@@ -240,12 +177,13 @@
 	char *response;
 
 	(void)state;
-	response = exchange("POST /a HTTP/1.1\r\nHost: h\r\n"
-			    "Transfer-Encoding: chunked\r\n\r\n"
-			    "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
-			    "POST /b HTTP/1.1\r\nHost: h\r\n"
-			    "Content-Length: 3\r\n\r\nxyz",
-			    &closed);
+	response = conn_exchange(fx.base, CONN_PORT,
+				 "POST /a HTTP/1.1\r\nHost: h\r\n"
+				 "Transfer-Encoding: chunked\r\n\r\n"
+				 "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+				 "POST /b HTTP/1.1\r\nHost: h\r\n"
+				 "Content-Length: 3\r\n\r\nxyz",
+				 &closed);
 	assert_int_equal(fx.requests, 2);
 	assert_string_equal(fx.body, "xyz");
 	assert_false(closed);
@@ -267,7 +205,8 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(no_request); i++) {
 		char *bytes = g_strconcat(ORDER, no_request[i], NULL);
 		bool closed;
-		char *response = exchange(bytes, &closed);
+		char *response =
+			conn_exchange(fx.base, CONN_PORT, bytes, &closed);
 		const char *rest = strstr(response + 1, "HTTP/1.1 ");
 
 		assert_int_equal(fx.requests, i + 1);
@@ -285,19 +224,19 @@
  * are served on. */
 static void test_bytes_behind_a_response(void **state)
 {
-	int other = open_connection();
+	int other = conn_open(CONN_PORT);
 
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(no_request); i++) {
-		int fd = open_connection();
+		int fd = conn_open(CONN_PORT);
 
-		send_text(fd, ORDER);
-		assert_served(fd);
-		send_text(fd, no_request[i]);
-		run_loop(5);
+		conn_send(fd, ORDER);
+		conn_assert_served(fx.base, fd);
+		conn_send(fd, no_request[i]);
+		conn_run(fx.base, 5);
 		assert_int_equal(fx.requests, 2 * i + 1);
-		send_text(other, REQUEST);
-		assert_served(other);
+		conn_send(other, REQUEST);
+		conn_assert_served(fx.base, other);
 		close(fd);
 	}
 	close(other);
@@ -323,22 +262,24 @@
 	if (files.rlim_cur < 2 * STALLED_COUNT + 100)
 		count = ((int)files.rlim_cur - 100) / 2;
 	for (int i = 0; i < count; i++) {
-		fds[i] = open_connection();
+		fds[i] = conn_open(CONN_PORT);
 		send(fds[i], partial_header, strlen(partial_header),
 		     MSG_NOSIGNAL);
 		if (i % 100 == 0)
-			run_loop(1);
+			conn_run(fx.base, 1);
 	}
-	run_loop(50);
+	conn_run(fx.base, 50);
 	start_ms = clock_boot_ms();
-	assert_true(g_str_has_prefix(exchange("GET / HTTP/1.1\r\nHost: h\r\n"
-					      "Connection: close\r\n\r\n",
-					      &closed),
-				     "HTTP/1.1 200 "));
+	assert_true(
+		g_str_has_prefix(conn_exchange(fx.base, CONN_PORT,
+					       "GET / HTTP/1.1\r\nHost: h\r\n"
+					       "Connection: close\r\n\r\n",
+					       &closed),
+				 "HTTP/1.1 200 "));
 	assert_in_range(clock_boot_ms() - start_ms, 0, 50);
 	/* Closing lingers for at most 1 s, so that callers can read their
 	 * response. */
-	run_loop(HEADER_TIMEOUT_MS + 2000);
+	conn_run(fx.base, HEADER_TIMEOUT_MS + 2000);
 	inbound_count(fx.inbound, &conns, &requests);
 	assert_int_equal(conns, 0);
 	for (int i = 0; i < count; i++)
@@ -357,14 +298,14 @@
  * the timeouts is due before the request is parsed. */
 static void test_request_received_at_idle_timeout(void **state)
 {
-	int fd = open_connection();
+	int fd = conn_open(CONN_PORT);
 
 	(void)state;
 	set_idle_timeout(IDLE_TIMEOUT_MS);
-	run_loop(5);
+	conn_run(fx.base, 5);
 	usleep(BUSY_MS * 1000);
-	send_text(fd, REQUEST);
-	assert_served(fd);
+	conn_send(fd, REQUEST);
+	conn_assert_served(fx.base, fd);
 	assert_int_equal(fx.requests, 1);
 	close(fd);
 }
@@ -373,35 +314,35 @@
 {
 	(void)fd;
 	(void)what;
-	send_text(*(int *)arg, REQUEST);
+	conn_send(*(int *)arg, REQUEST);
 }
 
 /* The same with a request that arrives between the poll and the check. */
 static void test_request_arriving_at_idle_timeout(void **state)
 {
 	struct timeval tv = {.tv_usec = 10000};
-	int fd = open_connection();
+	int fd = conn_open(CONN_PORT);
 
 	(void)state;
 	set_idle_timeout(IDLE_TIMEOUT_MS);
-	run_loop(5);
+	conn_run(fx.base, 5);
 	event_base_once(fx.base, -1, EV_TIMEOUT, on_send_timer, &fd, &tv);
 	usleep(BUSY_MS * 1000);
-	assert_served(fd);
+	conn_assert_served(fx.base, fd);
 	assert_int_equal(fx.requests, 1);
 	close(fd);
 }
 
 static void test_header_received_at_timeout(void **state)
 {
-	int fd = open_connection();
+	int fd = conn_open(CONN_PORT);
 
 	(void)state;
-	send_text(fd, "GET / HTTP/1.1\r\nHo");
-	run_loop(5);
+	conn_send(fd, "GET / HTTP/1.1\r\nHo");
+	conn_run(fx.base, 5);
 	usleep(BUSY_MS * 1000);
-	send_text(fd, "st: h\r\n\r\n");
-	assert_served(fd);
+	conn_send(fd, "st: h\r\n\r\n");
+	conn_assert_served(fx.base, fd);
 	close(fd);
 }
 
@@ -409,17 +350,17 @@
  * told yet: a limit that is lowered applies from the next request on. */
 static void test_lowered_idle_timeout(void **state)
 {
-	int fd = open_connection();
+	int fd = conn_open(CONN_PORT);
 	guint conns;
 	guint requests;
 
 	(void)state;
-	run_loop(IDLE_TIMEOUT_MS + 50);
+	conn_run(fx.base, IDLE_TIMEOUT_MS + 50);
 	set_idle_timeout(IDLE_TIMEOUT_MS);
-	run_loop(BUSY_MS);
-	send_text(fd, REQUEST);
-	assert_served(fd);
-	run_loop(IDLE_TIMEOUT_MS + BUSY_MS);
+	conn_run(fx.base, BUSY_MS);
+	conn_send(fd, REQUEST);
+	conn_assert_served(fx.base, fd);
+	conn_run(fx.base, IDLE_TIMEOUT_MS + BUSY_MS);
 	inbound_count(fx.inbound, &conns, &requests);
 	assert_int_equal(conns, 0);
 	close(fd);
@@ -432,12 +373,12 @@
 
 	(void)state;
 	set_idle_timeout(IDLE_TIMEOUT_MS);
-	fd = open_connection();
-	run_loop(5);
+	fd = conn_open(CONN_PORT);
+	conn_run(fx.base, 5);
 	set_idle_timeout(60000);
-	run_loop(IDLE_TIMEOUT_MS + BUSY_MS);
-	send_text(fd, REQUEST);
-	assert_served(fd);
+	conn_run(fx.base, IDLE_TIMEOUT_MS + BUSY_MS);
+	conn_send(fd, REQUEST);
+	conn_assert_served(fx.base, fd);
 	close(fd);
 }
 
@@ -448,11 +389,11 @@
  * the handler. The caller has read nothing yet. */
 static int request_long_response(void)
 {
-	int fd = open_connection();
+	int fd = conn_open(CONN_PORT);
 
-	send_text(fd, LONG_REQUEST);
+	conn_send(fd, LONG_REQUEST);
 	for (int ms = 0; ms < READ_TIMEOUT_MS && fx.requests == 0; ms += 2)
-		run_loop(2);
+		conn_run(fx.base, 2);
 	assert_int_equal(fx.requests, 1);
 	return fd;
 }
@@ -467,7 +408,7 @@
 
 	while (n != 0 && clock_boot_ms() < until_ms &&
 	       !g_str_has_suffix(response->str, LAST_CHUNK)) {
-		run_loop(1);
+		conn_run(fx.base, 1);
 		while ((n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT)) > 0)
 			g_string_append_len(response, buf, n);
 	}
@@ -504,11 +445,11 @@
 	(void)state;
 	set_idle_timeout(LONG_IDLE_TIMEOUT_MS);
 	fd = request_long_response();
-	run_loop(LONG_IDLE_TIMEOUT_MS + SWEEP_EXTRA_MS);
+	conn_run(fx.base, LONG_IDLE_TIMEOUT_MS + SWEEP_EXTRA_MS);
 	assert_long_response(fd);
-	run_loop(SWEEP_EXTRA_MS);
-	send_text(fd, REQUEST);
-	assert_served(fd);
+	conn_run(fx.base, SWEEP_EXTRA_MS);
+	conn_send(fd, REQUEST);
+	conn_assert_served(fx.base, fd);
 	close(fd);
 }
 
@@ -525,20 +466,20 @@
 	(void)state;
 	inbound_set_memory(fx.inbound, memory);
 	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++) {
-		fds[i] = open_connection();
-		send_text(fds[i], LONG_REQUEST);
-		run_loop(20);
+		fds[i] = conn_open(CONN_PORT);
+		conn_send(fds[i], LONG_REQUEST);
+		conn_run(fx.base, 20);
 	}
-	run_loop(1000);
+	conn_run(fx.base, 1000);
 	assert_int_equal(fx.requests, G_N_ELEMENTS(fds));
 	assert_true(memory->bytes < 2 * (uint64_t)LONG_BODY_BYTES);
 	inbound_count(fx.inbound, &conns, &requests);
 	assert_in_range(conns, 1, G_N_ELEMENTS(fds) - 1);
 	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++)
 		close(fds[i]);
-	fds[0] = open_connection();
-	send_text(fds[0], REQUEST);
-	assert_served(fds[0]);
+	fds[0] = conn_open(CONN_PORT);
+	conn_send(fds[0], REQUEST);
+	conn_assert_served(fx.base, fds[0]);
 	close(fds[0]);
 	inbound_destroy(fx.inbound);
 	fx.inbound = NULL;
--- a/test/unit/test_inbound_header.c
+++ b/test/unit/test_inbound_header.c
@@ -17,9 +17,9 @@
 #include "serve/inbound.h"
 #include "serve/memory.h"
 #include "serve/stats.h"
+#include "test/gateway/conn.h"
 
 enum {
-	PORT = 18490,
 	HEADER_BYTES_MAX = 2000,
 	BODY_BYTES_MAX = 1000,
 	/* For some of the headers, not for all. */
@@ -58,7 +58,7 @@
 	(void)state;
 	memset(&fx, 0, sizeof(fx));
 	fx.base = event_base_new();
-	fx.inbound = inbound_create(fx.base, "127.0.0.1:18490", &handler, NULL);
+	fx.inbound = inbound_create(fx.base, CONN_ADDRESS, &handler, NULL);
 	return fx.inbound == NULL;
 }
 
@@ -79,73 +79,6 @@
 	inbound_set_limits(fx.inbound, &limits);
 }
 
-static void run_loop(int ms)
-{
-	struct timeval tv = {.tv_sec = ms / 1000,
-			     .tv_usec = (ms % 1000) * 1000};
-
-	event_base_loopexit(fx.base, &tv);
-	event_base_dispatch(fx.base);
-}
-
-static int open_connection(void)
-{
-	struct sockaddr_in addr = {.sin_family = AF_INET,
-				   .sin_port = htons(PORT),
-				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	assert_true(fd >= 0);
-	assert_int_equal(connect(fd, (struct sockaddr *)&addr, sizeof(addr)),
-			 0);
-	return fd;
-}
-
-/* Sends bytes on a new connection and returns what it received; sets @p closed
- * if the connection was closed. */
-static char *exchange(const char *bytes, bool *closed)
-{
-	static char response[8192];
-	int fd = open_connection();
-	size_t n = 0;
-	ssize_t received = -1;
-
-	assert_int_equal(send(fd, bytes, strlen(bytes), MSG_NOSIGNAL),
-			 strlen(bytes));
-	*closed = false;
-	for (int i = 0; i < 20 && !*closed; i++) {
-		run_loop(3);
-		while (n < sizeof(response) - 1 &&
-		       (received =
-				recv(fd, response + n, sizeof(response) - 1 - n,
-				     MSG_DONTWAIT)) > 0)
-			n += (size_t)received;
-		*closed = received == 0;
-	}
-	response[n] = '\0';
-	close(fd);
-	run_loop(3);
-	return response;
-}
-
-static void send_text(int fd, const char *text)
-{
-	assert_int_equal(send(fd, text, strlen(text), MSG_NOSIGNAL),
-			 strlen(text));
-}
-
-/* Runs the loop, and checks that the connection gets a 200 response. */
-static void assert_served(int fd)
-{
-	char response[256];
-	ssize_t n;
-
-	run_loop(50);
-	n = recv(fd, response, sizeof(response) - 1, MSG_DONTWAIT);
-	response[MAX(n, 0)] = '\0';
-	assert_true(g_str_has_prefix(response, "HTTP/1.1 200 "));
-}
-
 /* Returns a request of lines of three bytes, the shortest there are, whose
  * target and lines have @p bytes. */
 static GString *build_short_lines(size_t bytes)
@@ -171,23 +104,25 @@
 	(void)state;
 	set_limits(HEADER_BYTES_MAX, 0);
 	g_string_append(text, "\n");
-	assert_true(g_str_has_prefix(exchange(text->str, &closed),
-				     "HTTP/1.1 200 "));
+	assert_true(g_str_has_prefix(
+		conn_exchange(fx.base, CONN_PORT, text->str, &closed),
+		"HTTP/1.1 200 "));
 	g_string_insert(text, (gssize)strlen("GET / HTTP/1.1\n"),
 			"Long-name: and its value\n");
 	g_string_erase(text, (gssize)text->len - 1 - 30, 30);
-	fd = open_connection();
+	fd = conn_open(CONN_PORT);
 	for (size_t i = 0; i < text->len; i++) {
 		assert_int_equal(send(fd, text->str + i, 1, MSG_NOSIGNAL), 1);
 		for (int turn = 0; turn < 3; turn++)
 			event_base_loop(fx.base, EVLOOP_NONBLOCK);
 	}
-	assert_served(fd);
+	conn_assert_served(fx.base, fd);
 	close(fd);
 	g_string_free(text, TRUE);
 	text = build_short_lines(HEADER_BYTES_MAX + 6);
-	assert_true(g_str_has_prefix(exchange(text->str, &closed),
-				     "HTTP/1.1 431 "));
+	assert_true(g_str_has_prefix(
+		conn_exchange(fx.base, CONN_PORT, text->str, &closed),
+		"HTTP/1.1 431 "));
 	assert_true(closed);
 	assert_int_equal(fx.requests, 2);
 	g_string_free(text, TRUE);
@@ -201,12 +136,15 @@
 	(void)state;
 	set_limits(HEADER_BYTES_MAX, 3);
 	assert_true(g_str_has_prefix(
-		exchange("GET / HTTP/1.1\r\nHost: h\r\na:\r\nb:\r\n\r\n",
-			 &closed),
+		conn_exchange(fx.base, CONN_PORT,
+			      "GET / HTTP/1.1\r\nHost: h\r\na:\r\nb:\r\n\r\n",
+			      &closed),
 		"HTTP/1.1 200 "));
 	assert_true(g_str_has_prefix(
-		exchange("GET / HTTP/1.1\r\nHost: h\r\na:\r\nb:\r\nc:\r\n\r\n",
-			 &closed),
+		conn_exchange(
+			fx.base, CONN_PORT,
+			"GET / HTTP/1.1\r\nHost: h\r\na:\r\nb:\r\nc:\r\n\r\n",
+			&closed),
 		"HTTP/1.1 431 "));
 	assert_true(closed);
 	assert_int_equal(stats_get(STATS_HEADER_LINES), rejected + 1);
@@ -226,14 +164,16 @@
 	(void)state;
 	set_limits(HEADER_BYTES_MAX, 0);
 	g_string_append(text, "Secret: a\r\n\r\n");
-	assert_true(g_str_has_prefix(exchange(text->str, &closed),
-				     "HTTP/1.1 200 "));
+	assert_true(g_str_has_prefix(
+		conn_exchange(fx.base, CONN_PORT, text->str, &closed),
+		"HTTP/1.1 200 "));
 	assert_false(fx.has_secret);
 	g_string_assign(text, head);
 	for (int i = 0; i < HEADER_BYTES_MAX / 3; i++)
 		g_string_append(text, "a:\r\n");
-	assert_true(g_str_has_prefix(exchange(text->str, &closed),
-				     "HTTP/1.1 431 "));
+	assert_true(g_str_has_prefix(
+		conn_exchange(fx.base, CONN_PORT, text->str, &closed),
+		"HTTP/1.1 431 "));
 	assert_int_equal(fx.requests, 1);
 	g_string_free(text, TRUE);
 }
@@ -256,14 +196,14 @@
 	set_limits(65536, 0);
 	inbound_set_memory(fx.inbound, memory);
 	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++) {
-		fds[i] = open_connection();
-		send_text(fds[i], text->str);
+		fds[i] = conn_open(CONN_PORT);
+		conn_send(fds[i], text->str);
 		for (int turn = 0; turn < 4; turn++) {
 			event_base_loop(fx.base, EVLOOP_NONBLOCK);
 			assert_true(memory->bytes <= HEADERS_BUDGET_BYTES);
 		}
 	}
-	run_loop(50);
+	conn_run(fx.base, 50);
 	assert_true(stats_get(STATS_HEADER_FULL) > rejected);
 	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++) {
 		ssize_t n = recv(fds[i], response, sizeof(response) - 1,
@@ -279,14 +219,14 @@
 	}
 	assert_true(refused > 0);
 	/* While reading is stopped, a caller that has left is not noticed. */
-	run_loop(GIVEN_BACK_MS);
+	conn_run(fx.base, GIVEN_BACK_MS);
 	inbound_count(fx.inbound, &conns, &requests);
 	assert_int_equal(conns, 0);
 	assert_int_equal(memory->bytes, 0);
 	g_string_append(text, "\n");
-	fds[0] = open_connection();
-	send_text(fds[0], text->str);
-	assert_served(fds[0]);
+	fds[0] = conn_open(CONN_PORT);
+	conn_send(fds[0], text->str);
+	conn_assert_served(fx.base, fds[0]);
 	/* The connection is kept, but not its header. */
 	assert_int_equal(memory->bytes, IDLE_BYTES);
 	close(fds[0]);
--- a/test/unit/test_turn_writes.c
+++ b/test/unit/test_turn_writes.c
@@ -178,18 +178,28 @@
 #define WRITE_TEST(test)                                                       \
 	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
 
+/* Begins two turns: a transaction with the version of the first one's stream is
+ * under way when the second one is committed. */
+static void begin_beside_version(struct caller **stream, struct caller **other,
+				 const char *text)
+{
+	*stream = begin();
+	*other = begin();
+	(*stream)->text = "stream";
+	assert_true(turns_store_version((*stream)->turn, "v1", true));
+	run(NULL, BEFORE_RESULT_MS);
+	commit(*other, text);
+}
+
 /* Guards against a turn that is answered whole by the result of the transaction
  * before, although its own has only been sent. */
 static void test_result_of_the_transaction_before(void **state)
 {
-	struct caller *stream = begin();
-	struct caller *other = begin();
+	struct caller *stream;
+	struct caller *other;
 
 	(void)state;
-	stream->text = "stream";
-	assert_true(turns_store_version(stream->turn, "v1", true));
-	run(NULL, BEFORE_RESULT_MS);
-	commit(other, "other");
+	begin_beside_version(&stream, &other, "other");
 	run(&other->committed, RESULT_MS);
 	assert_true(other->committed);
 	assert_true(other->was_stored);
@@ -201,14 +211,11 @@
 /* The same if that transaction fails: the turn is written again. */
 static void test_refused_transaction_is_repeated(void **state)
 {
-	struct caller *stream = begin();
-	struct caller *other = begin();
+	struct caller *stream;
+	struct caller *other;
 
 	(void)state;
-	stream->text = "stream";
-	assert_true(turns_store_version(stream->turn, "v1", true));
-	run(NULL, BEFORE_RESULT_MS);
-	commit(other, "other");
+	begin_beside_version(&stream, &other, "other");
 	run(&stream->version_stored, RESULT_MS);
 	rowstore_set_mode(test.rowstore, ROWSTORE_UNAVAILABLE);
 	run(NULL, 3 * STORE_DELAY_MS);
@@ -225,14 +232,11 @@
  * before the caller is told. */
 static void test_lost_response(void **state)
 {
-	struct caller *stream = begin();
-	struct caller *other = begin();
+	struct caller *stream;
+	struct caller *other;
 
 	(void)state;
-	stream->text = "stream";
-	assert_true(turns_store_version(stream->turn, "v1", true));
-	run(NULL, BEFORE_RESULT_MS);
-	commit(other, "other");
+	begin_beside_version(&stream, &other, "other");
 	run(&stream->version_stored, RESULT_MS);
 	rowstore_set_mode(test.rowstore, ROWSTORE_LOSE_RESPONSE);
 	run(NULL, 2 * STORE_DELAY_MS);
@@ -249,15 +253,12 @@
 static void test_long_text_beside_a_version(void **state)
 {
 	char *text = g_strnfill(LONG_TEXT_BYTES, 'x');
-	struct caller *stream = begin();
-	struct caller *other = begin();
+	struct caller *stream;
+	struct caller *other;
 	guint rows;
 
 	(void)state;
-	stream->text = "stream";
-	assert_true(turns_store_version(stream->turn, "v1", true));
-	run(NULL, BEFORE_RESULT_MS);
-	commit(other, text);
+	begin_beside_version(&stream, &other, text);
 	run(&stream->version_stored, RESULT_MS);
 	rowstore_set_mode(test.rowstore, ROWSTORE_UNAVAILABLE);
 	run(NULL, 2 * STORE_DELAY_MS);
