streams: what a caller left behind does not count

Cause, found by reading: a caller that named the first attempt got what its instance knew at once, without asking others. If that instance had passed on more than the caller got, and the caller had gone on elsewhere and came back, events of the first attempt were taken for those of the second one. Change: the instances that may know a later attempt are always asked (up to 60 ms for those that do not answer), and events behind a caller's Last-Event-Id do not count any more once a copy was found. Ruled out: the order of arrival alone (instances do not share a clock). Related: callers that name no attempt (they asked others unless a copy was here).

--- a/decide/stream_copy.c
+++ b/decide/stream_copy.c
@@ -34,6 +34,7 @@
 	bool released;
 	bool ended;
 	bool given_up; /* there was no room */
+	guint counted; /* events that count, the first ones; G_MAXUINT: all */
 };
 
 struct scopy {
@@ -152,6 +153,7 @@
 	stream->version = g_strdup(version);
 	stream->keep_ms = keep_ms;
 	stream->changed_ms = now_ms;
+	stream->counted = G_MAXUINT;
 	stream->events = g_array_new(FALSE, FALSE, sizeof(struct kept_event));
 	stream->data = g_byte_array_new();
 	cds_list_add_tail(&stream->node, &scopy->streams);
@@ -270,8 +272,9 @@
 				      .len = kept->len};
 }
 
-/* Fills in what a copy knows of the events up to @p after_event. */
-static void read_copy(const struct scopy_stream *stream, int64_t after_event,
+/* Fills in what a copy knows of the events up to @p after_event, which are
+ * those that count from now on. */
+static void read_copy(struct scopy_stream *stream, int64_t after_event,
 		      int64_t now_ms, struct scopy_found *found)
 {
 	memset(found, 0, sizeof(*found));
@@ -285,7 +288,7 @@
 	if (stream->given_up)
 		return;
 	found->text = g_byte_array_new();
-	for (guint i = 0; i < stream->events->len; i++) {
+	for (guint i = 0; i < MIN(stream->events->len, stream->counted); i++) {
 		struct scopy_event event;
 
 		scopy_get(stream, i, &event);
@@ -303,7 +306,26 @@
 	}
 }
 
-void scopy_find(const struct scopy *scopy, const struct scopy_id *stream,
+/* Events behind @p after_event do not count any more. */
+static void cut(struct scopy_stream *stream, int64_t after_event)
+{
+	for (guint i = 0; i < MIN(stream->events->len, stream->counted); i++) {
+		struct scopy_event event;
+
+		scopy_get(stream, i, &event);
+		if (event.id == after_event)
+			stream->counted = i + 1;
+	}
+}
+
+static bool is_meant(const struct scopy_stream *copy,
+		     const struct scopy_id *attempt)
+{
+	return attempt == NULL || id_equal(attempt, &copy->name.attempt) ||
+	       id_equal(attempt, &copy->name.first);
+}
+
+void scopy_find(struct scopy *scopy, const struct scopy_id *stream,
 		const struct scopy_id *attempt, int64_t after_event,
 		int64_t now_ms, struct scopy_found *found)
 {
@@ -317,13 +339,17 @@
 	cds_list_for_each_entry(copy, &same->copies, same_node) {
 		struct scopy_found other;
 
-		if (attempt != NULL &&
-		    !id_equal(attempt, &copy->name.attempt) &&
-		    !id_equal(attempt, &copy->name.first))
+		if (!is_meant(copy, attempt))
 			continue;
 		read_copy(copy, after_event, now_ms, &other);
 		scopy_combine(found, &other);
 	}
+	if (found->result != SCOPY_FOUND)
+		return;
+	cds_list_for_each_entry(copy, &same->copies, same_node) {
+		if (is_meant(copy, attempt))
+			cut(copy, after_event);
+	}
 }
 
 static bool is_same(const struct scopy_found *a, const struct scopy_found *b)
--- a/decide/stream_copy.h
+++ b/decide/stream_copy.h
@@ -110,13 +110,15 @@
 };
 
 /**
- * Searches the copies of an instance.
+ * Searches the copies of an instance. What a copy has beyond @p after_event
+ * does not count any more once it is found: its caller does not have it, and
+ * goes on with another attempt.
  *
  * @param attempt     the first attempt that brought events, or the last one; or
  *                    NULL
  * @param after_event id of the last event that the caller has
  */
-void scopy_find(const struct scopy *scopy, const struct scopy_id *stream,
+void scopy_find(struct scopy *scopy, const struct scopy_id *stream,
 		const struct scopy_id *attempt, int64_t after_event,
 		int64_t now_ms, struct scopy_found *found);
 /** Adds what another instance has found to @p found, and clears it. */
--- a/serve/copies_find.c
+++ b/serve/copies_find.c
@@ -12,8 +12,7 @@
 enum {
 	POLL_MS = 30, /* what was sent last may still be on its way */
 	FIND_MAX_MS = 400,
-	/* For further answers once a copy has been found, if the caller does
-	 * not say which attempt it means. */
+	/* For further answers once a copy has been found. */
 	SETTLE_MS = 60,
 	TRIES_MAX = 3, /* to reach an instance */
 };
@@ -165,7 +164,7 @@
 	    search->found.result == SCOPY_AMBIGUOUS)
 		return true;
 	if (search->found.result == SCOPY_FOUND)
-		return search->has_attempt || !waits_for_answers(search) ||
+		return !waits_for_answers(search) ||
 		       now_ms - search->found_ms >= SETTLE_MS;
 	return search->found.result == SCOPY_UNKNOWN &&
 	       !waits_for_answers(search) &&
@@ -181,9 +180,8 @@
 	(void)fd;
 	(void)what;
 	look_here(search);
-	/* Another attempt may be known elsewhere. */
-	if (search->found.result < SCOPY_FOUND ||
-	    (!search->has_attempt && search->asked->len == 0))
+	/* A later attempt may be known elsewhere. */
+	if (search->found.result < SCOPY_FOUND || search->asked->len == 0)
 		ask_peers(search);
 	if (is_decided(search))
 		finish(search);
--- a/test/unit/test_resumed_turn.c
+++ b/test/unit/test_resumed_turn.c
@@ -365,6 +365,35 @@
 	}
 }
 
+/* Guards against events of the first attempt that its caller did not get, at
+ * the instance that passed them on: the caller has others, of a later attempt.
+ */
+static void test_back_at_the_first_instance(void **state)
+{
+	(void)state;
+	for (int named = 0; named < 2; named++) {
+		struct caller caller = {0};
+		char *resumes;
+
+		send_turn(&caller, 0, "");
+		resumes = g_strdup_printf("Resumes: %s\r\n", caller.id);
+		run_until_event(&caller, 5);
+		take_events(&caller);
+		/* The others got lost on the way. */
+		caller.last = 2;
+		send_turn(&caller, 1, named ? resumes : "");
+		run_until_event(&caller, 4);
+		take_events(&caller);
+		assert_in_range(caller.last, 4, 5);
+		fixture_run_until(NULL, GAP_MS);
+		resume_whole(&caller, 0, named ? resumes : "");
+		check_next_turn(&caller, 1);
+		g_free(resumes);
+		fixture_kill_all();
+		fixture_run_until(NULL, KNOWN_MS);
+	}
+}
+
 /* Servers break off too: a gateway goes on within a response, before and after
  * its caller takes the stream up. */
 static void test_resumed_here_and_by_the_caller(void **state)
@@ -560,6 +589,7 @@
 		RESUMED_TEST(test_resumed_twice),
 		RESUMED_TEST(test_holder_is_replaced),
 		RESUMED_TEST(test_broken_connection),
+		RESUMED_TEST(test_back_at_the_first_instance),
 		RESUMED_TEST(test_resumed_here_and_by_the_caller),
 		RESUMED_TEST(test_unknown_stream),
 		RESUMED_TEST(test_all_are_lost),
