streams: a long text that an attempt takes up is copied in parts

Cause, found by reading: the copy of an attempt begins with the text of those before as one event. A text of over 2 MB is a message that the other instance takes for no message; it would end the connection, and with it all copies on it. Change: such a text is split at line feeds into parts of 256 KB or a line more; an instance counts as stuck with 4 MB unsent (1 MB), so that a text of 3 MB alone does not make it so. Ruled out: a larger limit of messages, as a turn's text has none.

--- a/decide/stream_copy.c
+++ b/decide/stream_copy.c
@@ -211,6 +211,31 @@
 	set_bytes(stream, stream->bytes + bytes);
 }
 
+void scopy_add_text(struct scopy_stream *stream, int64_t id, const char *text,
+		    size_t len, int64_t now_ms)
+{
+	/* Each event is kept without the line feed after it. */
+	const char *end = text + (len > 0 ? len - 1 : 0);
+	struct scopy_event event = {.id = -1, .has_data = len > 0};
+
+	while (end - text > SCOPY_PART_BYTES) {
+		const char *line =
+			memchr(text + SCOPY_PART_BYTES, '\n',
+			       (size_t)(end - text) - SCOPY_PART_BYTES);
+
+		if (line == NULL)
+			break;
+		event.data = (const uint8_t *)text;
+		event.len = (size_t)(line - text);
+		scopy_add(stream, &event, now_ms);
+		text = line + 1;
+	}
+	event.id = id;
+	event.data = (const uint8_t *)text;
+	event.len = (size_t)(end - text);
+	scopy_add(stream, &event, now_ms);
+}
+
 void scopy_end(struct scopy_stream *stream, int64_t now_ms)
 {
 	touch(stream, now_ms);
--- a/decide/stream_copy.h
+++ b/decide/stream_copy.h
@@ -21,6 +21,8 @@
 	SCOPY_ID_BYTES = 16,
 	/** Instances that are asked for a copy, at most. */
 	SCOPY_ASKED_MAX = 12,
+	/** Of the events that a text is split into, but for longer lines. */
+	SCOPY_PART_BYTES = 262144,
 };
 
 /** A hash. */
@@ -73,6 +75,10 @@
 /** Adds an event. If there is no room, the whole copy is given up. */
 void scopy_add(struct scopy_stream *stream, const struct scopy_event *event,
 	       int64_t now_ms);
+/** Adds the data of several events, a line feed after each, of which the last
+ * one has the id @p id. */
+void scopy_add_text(struct scopy_stream *stream, int64_t id, const char *text,
+		    size_t len, int64_t now_ms);
 /** The stream is complete. */
 void scopy_end(struct scopy_stream *stream, int64_t now_ms);
 /** Nothing more will be added. */
--- a/serve/copies.c
+++ b/serve/copies.c
@@ -365,6 +365,13 @@
 	note_memory(stream->copies);
 }
 
+void copies_add_text(struct copies_stream *stream, int64_t id, const char *text,
+		     size_t len)
+{
+	scopy_add_text(stream->copy, id, text, len, clock_boot_ms());
+	note_memory(stream->copies);
+}
+
 void copies_end(struct copies_stream *stream)
 {
 	scopy_end(stream->copy, clock_boot_ms());
--- a/serve/copies.h
+++ b/serve/copies.h
@@ -48,6 +48,9 @@
 				   const char *version, int64_t keep_ms);
 /** Adds an event that is about to be passed on; copies_send() sends it. */
 void copies_add(struct copies_stream *stream, const struct scopy_event *event);
+/** Adds what the caller had before; see scopy_add_text(). */
+void copies_add_text(struct copies_stream *stream, int64_t id, const char *text,
+		     size_t len);
 /** The stream is complete. */
 void copies_end(struct copies_stream *stream);
 /** Sends what was added to the other instance. */
--- a/serve/copies_link.c
+++ b/serve/copies_link.c
@@ -13,7 +13,7 @@
 
 enum {
 	FRAME_MAX_BYTES = 2097152,  /* twice the largest event */
-	UNSENT_MAX_BYTES = 1048576, /* then the other side counts as stuck */
+	UNSENT_MAX_BYTES = 4194304, /* then the other side counts as stuck */
 };
 
 struct clink {
--- a/serve/exchange_resume.c
+++ b/serve/exchange_resume.c
@@ -69,9 +69,6 @@
 
 void exch_begin_copy(struct exch *x)
 {
-	struct scopy_event known = {.id = x->call.last_event_id,
-				    .has_data = x->turn_output->len > 0,
-				    .data = (uint8_t *)x->turn_output->str};
 	struct scopy_name name;
 
 	if (!is_copied(x))
@@ -82,11 +79,9 @@
 	name.generation = x->copy_generation;
 	x->copy = copies_begin(x->shared->copies, &name, x->version,
 			       exch_version_window_ms(x));
-	if (x->call.last_event_id < 0)
-		return;
-	/* Without the line feed after the last event, which is added again. */
-	known.len = known.has_data ? x->turn_output->len - 1 : 0;
-	copies_add(x->copy, &known);
+	if (x->call.last_event_id >= 0)
+		copies_add_text(x->copy, x->call.last_event_id,
+				x->turn_output->str, x->turn_output->len);
 }
 
 static void log_resumption(const struct exch *x, const char *version,
--- a/test/unit/test_stream_copy.c
+++ b/test/unit/test_stream_copy.c
@@ -123,6 +123,36 @@
 	scopy_destroy(scopy);
 }
 
+/* Guards against an event that no message can hold: what an attempt takes up is
+ * added in parts. */
+static void test_long_text(void **state)
+{
+	struct scopy *scopy = scopy_create(8 * SCOPY_PART_BYTES);
+	struct scopy_name name = name_of(2, 1, 1);
+	struct scopy_stream *stream =
+		scopy_begin(scopy, &name, "v1", KEEP_MS, 0);
+	GString *text = g_string_new(NULL);
+	struct scopy_event event;
+
+	(void)state;
+	while (text->len < 7 * SCOPY_PART_BYTES / 2)
+		g_string_append(text, "a line of the text\n");
+	g_string_append(text, "\n");
+	scopy_add_text(stream, 9, text->str, text->len, 0);
+	assert_int_equal(scopy_events(stream), 4);
+	for (guint i = 0; i < scopy_events(stream); i++) {
+		scopy_get(stream, i, &event);
+		assert_in_range(event.len, 0, SCOPY_PART_BYTES + 100);
+	}
+	assert_found(scopy, 0, 9, SCOPY_FOUND, text->str);
+	scopy_add_text(stream, 10, "", 0, 0);
+	scopy_get(stream, 4, &event);
+	assert_false(event.has_data);
+	assert_found(scopy, 0, 10, SCOPY_BEHIND, NULL);
+	scopy_destroy(scopy);
+	g_string_free(text, TRUE);
+}
+
 /* Guards against events that an instance went on to pass on, after its caller
  * had gone on with another attempt of which nothing is known here. */
 static void test_events_behind_a_resumption(void **state)
@@ -362,6 +392,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_events_up_to_the_callers),
 		cmocka_unit_test(test_attempt_that_takes_up),
+		cmocka_unit_test(test_long_text),
 		cmocka_unit_test(test_events_behind_a_resumption),
 		cmocka_unit_test(test_later_attempt_replaces_earlier),
 		cmocka_unit_test(test_attempts_that_began_anew),
