--- a/serve/copies.c
+++ b/serve/copies.c
@@ -9,12 +9,10 @@
 #include "stats.h"
 
 enum {
-	TICK_MS = 200,	 /* between checks of holders */
-	IDLE_MS = 30000, /* until a connection that is not used is closed */
-	AVOID_MS = 3000, /* an instance whose connection ended */
-	/* A frame has a few events more than what came at once; a copy that
-	 * goes to another instance is split. */
-	FRAME_BYTES = 65536,
+	TICK_MS = 200,	     /* between checks of holders */
+	IDLE_MS = 30000,     /* until a connection that is not used is closed */
+	AVOID_MS = 3000,     /* an instance whose connection ended */
+	FRAME_BYTES = 65536, /* of events, but for the last one */
 	KEEP_MAX_MS = 600000, /* of a copy for another instance */
 };
 
