stream_copy: a comment says what the function does

Cause: read_copy() had cut a copy for a while before the cut became a function of its own; its comment still said so, and its parameter was not const. Change: both follow the code.

--- a/decide/stream_copy.c
+++ b/decide/stream_copy.c
@@ -297,9 +297,8 @@
 				      .len = kept->len};
 }
 
-/* Fills in what a copy knows of the events up to @p after_event, which are
- * those that count from now on. */
-static void read_copy(struct scopy_stream *stream, int64_t after_event,
+/* Fills in what a copy knows of the events up to @p after_event. */
+static void read_copy(const struct scopy_stream *stream, int64_t after_event,
 		      int64_t now_ms, struct scopy_found *found)
 {
 	memset(found, 0, sizeof(*found));
