tests: connections and the stop beside a stream begin in one place each

Cause: test_busy_loop opened its connection as conn_open() does, and three tests of test_planned_stop began their stream and their stop with the same lines. Change: test_busy_loop calls conn_open(); test_planned_stop has stop_beside_stream(). No assertion is changed.

--- a/test/unit/test_busy_loop.c
+++ b/test/unit/test_busy_loop.c
@@ -20,6 +20,7 @@
 
 #include "platform/rowstore.h"
 #include "serve/clock.h"
+#include "test/gateway/conn.h"
 #include "test/gateway/fixture.h"
 
 #define PEER_ADDRESS "127.0.0.1:18406"
@@ -247,20 +248,6 @@
 	assert_int_equal(second.version, 3);
 }
 
-/* Opens a connection to the first instance. */
-static int connect_as_caller(void)
-{
-	struct sockaddr_in addr = {.sin_family = AF_INET,
-				   .sin_port = htons(CALLERS_PORT),
-				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	assert_true(fd >= 0);
-	assert_int_equal(connect(fd, (struct sockaddr *)&addr, sizeof(addr)),
-			 0);
-	return fd;
-}
-
 static void send_order(int fd, const char *id)
 {
 	char *request = g_strdup_printf("POST /order/1 HTTP/1.1\r\nHost: h\r\n"
@@ -331,7 +318,7 @@
 
 	(void)state;
 	put_peer("shop", "s1");
-	caller = connect_as_caller();
+	caller = conn_open(CALLERS_PORT);
 	send_order(caller, "r1");
 	fds[0] = accept_request(listener);
 	send_order_answer(fds[0], "r1");
--- a/test/unit/test_planned_stop.c
+++ b/test/unit/test_planned_stop.c
@@ -80,6 +80,16 @@
 	assert_true(gw_stopped(fx.gateways[gateway]));
 }
 
+/* Begins the long stream, and the stop while it runs. */
+static void stop_beside_stream(struct fixture_response *response,
+			       const char *id)
+{
+	send_turn(response, "/kept/slow/turn", id);
+	run_until_received(fx.engines[0], 1);
+	fixture_run_until(NULL, 2 * STREAM_GAP_MS);
+	gw_stop(fx.gateways[0]);
+}
+
 /* Guards against a request on a channel that was kept over the SIGTERM, which
  * is passed on although the process ends before it can. */
 static void test_kept_channel_late_in_a_stop(void **state)
@@ -88,10 +98,7 @@
 	struct fixture_response second;
 
 	(void)state;
-	send_turn(&first, "/kept/slow/turn", "a1");
-	run_until_received(fx.engines[0], 1);
-	fixture_run_until(NULL, 2 * STREAM_GAP_MS);
-	gw_stop(fx.gateways[0]);
+	stop_beside_stream(&first, "a1");
 	fixture_run_until(&first.done, RESPONSE_TIMEOUT_MS);
 	assert_int_equal(first.end, UPSTREAM_COMPLETE);
 	send_turn(&second, "/kept/slow/turn", "a2");
@@ -108,10 +115,7 @@
 	struct fixture_response second;
 
 	(void)state;
-	send_turn(&first, "/kept/slow/turn", "b1");
-	run_until_received(fx.engines[0], 1);
-	fixture_run_until(NULL, 2 * STREAM_GAP_MS);
-	gw_stop(fx.gateways[0]);
+	stop_beside_stream(&first, "b1");
 	fixture_run_until(&first.done, RESPONSE_TIMEOUT_MS);
 	fx.deadline_ms = SHORT_LIMIT_MS;
 	send_turn(&second, "/kept/turn", "b2");
@@ -278,10 +282,7 @@
 	(void)state;
 	backend_set_long_streams(fx.engines[0], "/kept/slow", 36,
 				 STREAM_GAP_MS);
-	send_turn(&response, "/kept/slow/turn", "h1");
-	run_until_received(fx.engines[0], 1);
-	fixture_run_until(NULL, 2 * STREAM_GAP_MS);
-	gw_stop(fx.gateways[0]);
+	stop_beside_stream(&response, "h1");
 	stopped_ms = clock_boot_ms();
 	fixture_run_until(&response.done, RESPONSE_TIMEOUT_MS);
 	assert_int_equal(response.end, UPSTREAM_COMPLETE);
